--- /dev/null
+++ b/crates/cli/src/check.rs
@@ -0,0 +1,101 @@
+//! Checks of configuration and settings files.
+
+use std::{fmt, fs, path::Path};
+
+use mimosaledge_core::config::{Config, ConfigError};
+use mimosaledge_router::Settings;
+use serde::Deserialize;
+
+/// A result whose error is a [`CheckError`].
+pub type Result<T> = std::result::Result<T, CheckError>;
+
+/// What a checked file is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Checked {
+    /// A configuration to publish.
+    Configuration,
+    /// Settings of a router.
+    Router,
+}
+
+/// Why a file was rejected.
+#[derive(Debug)]
+pub enum CheckError {
+    /// The file cannot be read.
+    Unreadable(std::io::Error),
+    /// The file has no `kind` that is known.
+    UnknownKind,
+    /// The configuration has a fault.
+    Configuration(ConfigError),
+    /// The settings have a fault.
+    Settings(eyre::Report),
+}
+
+impl CheckError {
+    /// Returns the number that identifies the fault, as in `docs/CODES.md`.
+    pub fn as_u16(&self) -> u16 {
+        match self {
+            CheckError::Unreadable(_) => 5010,
+            CheckError::UnknownKind => 5011,
+            CheckError::Configuration(err) => err.category().as_u16(),
+            CheckError::Settings(_) => 5012,
+        }
+    }
+}
+
+impl fmt::Display for CheckError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CheckError::Unreadable(err) => write!(f, "cannot read file: {err} (code 5010)"),
+            CheckError::UnknownKind => {
+                f.write_str("kind must be configuration or router (code 5011)")
+            }
+            CheckError::Configuration(err) => err.fmt(f),
+            CheckError::Settings(err) => write!(f, "{err} (code 5012)"),
+        }
+    }
+}
+
+impl std::error::Error for CheckError {}
+
+#[derive(Deserialize)]
+struct Header {
+    kind: String,
+}
+
+/// Checks the file at `path` whole.
+///
+/// # Errors
+///
+/// Returns the first fault.
+pub fn check_file(path: &Path) -> Result<Checked> {
+    let text = fs::read_to_string(path).map_err(CheckError::Unreadable)?;
+    check_text(&text)
+}
+
+/// Checks the text of a file whole.
+///
+/// # Errors
+///
+/// Returns the first fault.
+pub fn check_text(text: &str) -> Result<Checked> {
+    // A file too broken for its kind to be read gets the parser's message.
+    let header: Header = mimosaledge_core::config::parse_header(text).map_err(|err| {
+        if text.contains("kind:") {
+            CheckError::Configuration(err)
+        } else {
+            CheckError::UnknownKind
+        }
+    })?;
+    match header.kind.as_str() {
+        "configuration" => {
+            Config::from_yaml(text).map_err(CheckError::Configuration)?;
+            Ok(Checked::Configuration)
+        }
+        "router" => {
+            Settings::from_yaml(text).map_err(CheckError::Settings)?;
+            Ok(Checked::Router)
+        }
+        _ => Err(CheckError::UnknownKind),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,182 @@
+//! The `mimosaledge` program.
+
+use std::{
+    fs,
+    io::{self, Write},
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+    time::Duration,
+};
+
+use eyre::{Result, WrapErr};
+use mimosaledge_cli::{
+    check::check_file,
+    output::print,
+    publish::{Published, Publisher, Wanted},
+    routers,
+};
+use mimosaledge_core::config::PresetName;
+use mimosaledge_router::ops::Status;
+use serde::Serialize;
+use tokio::{runtime::Builder, task::LocalSet};
+
+mod flags {
+    #![allow(missing_docs, unreachable_pub)]
+
+    use super::{PathBuf, PresetName, SocketAddr};
+
+    xflags::xflags! {
+        /// Operates a mimosaledge fleet.
+        cmd mimosaledge {
+            /// Print results as JSON.
+            optional --json
+            /// Check a configuration or settings file.
+            cmd check {
+                /// The file.
+                required file: PathBuf
+            }
+            /// Publish a configuration.
+            cmd publish {
+                /// The file with the configuration.
+                required file: PathBuf
+                /// Address of the platform.
+                required --platform platform: SocketAddr
+                /// Operators' ports of routers, separated by commas.
+                required --routers routers: String
+                /// Wait until every router has the change in force.
+                optional --wait
+            }
+            /// Switch to a preset: ordinary, peak or maintenance.
+            cmd switch {
+                /// The preset.
+                required preset: PresetName
+                /// Address of the platform.
+                required --platform platform: SocketAddr
+                /// Operators' ports of routers, separated by commas.
+                required --routers routers: String
+                /// Wait until every router has the change in force.
+                optional --wait
+            }
+            /// Show the state of routers.
+            cmd status {
+                /// Operators' ports of routers, separated by commas.
+                required --routers routers: String
+            }
+            /// Begin the planned stop of a router.
+            cmd drain {
+                /// Operators' port of the router.
+                required --router router: SocketAddr
+            }
+        }
+    }
+}
+
+/// Longest wait for a change to be accepted and in force.
+const PUBLISH_LIMIT: Duration = Duration::from_secs(15);
+
+fn main() -> Result<ExitCode> {
+    let flags = flags::Mimosaledge::from_env_or_exit();
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, run(flags))
+}
+
+async fn run(flags: flags::Mimosaledge) -> Result<ExitCode> {
+    use flags::MimosaledgeCmd as Cmd;
+    let json = flags.json;
+    match flags.subcommand {
+        Cmd::Check(check) => run_check(json, &check),
+        Cmd::Publish(publish) => {
+            check_file(&publish.file).wrap_err_with(|| publish.file.display().to_string())?;
+            let wanted = Wanted::Configuration(fs::read_to_string(&publish.file)?);
+            let routers = routers::parse_list(&publish.routers)?;
+            let publisher = Publisher::new(publish.platform, routers, PUBLISH_LIMIT);
+            report(json, &publisher.change(wanted, publish.wait).await?)
+        }
+        Cmd::Switch(switch) => {
+            let routers = routers::parse_list(&switch.routers)?;
+            let publisher = Publisher::new(switch.platform, routers, PUBLISH_LIMIT);
+            let wanted = Wanted::Preset(switch.preset);
+            report(json, &publisher.change(wanted, switch.wait).await?)
+        }
+        Cmd::Status(status) => run_status(json, &status).await,
+        Cmd::Drain(drain) => {
+            routers::drain(drain.router).await?;
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct CheckReport {
+    file: String,
+    code: u16,
+    fault: Option<String>,
+}
+
+fn run_check(json: bool, flags: &flags::Check) -> Result<ExitCode> {
+    let file = flags.file.display().to_string();
+    let result = check_file(&flags.file);
+    let code = result.as_ref().err().map_or(0, |err| err.as_u16());
+    let fault = result.err().map(|err| err.to_string());
+    print(json, &CheckReport { file, code, fault }, |it| match &it.fault {
+        Some(fault) => format!("{}: {fault}", it.file),
+        None => format!("{}: no faults found", it.file),
+    })?;
+    Ok(if code == 0 { ExitCode::SUCCESS } else { ExitCode::from(2) })
+}
+
+fn report(json: bool, published: &Published) -> Result<ExitCode> {
+    print(json, published, |it| match it {
+        Published::Accepted { offset, in_force, routers } => {
+            format!("accepted as {offset}; in force on {in_force} of {routers} routers")
+        }
+        Published::Conflict { head } => {
+            format!("conflict: another change came first; the head is {head:?}")
+        }
+        Published::NotAppended => "not accepted: the log did not take the record".to_owned(),
+        Published::Unknown => {
+            "unknown: the log may hold the record; look at the status before trying again"
+                .to_owned()
+        }
+    })?;
+    Ok(ExitCode::from(published.exit_status() as u8))
+}
+
+async fn run_status(json: bool, flags: &flags::Status) -> Result<ExitCode> {
+    let mut statuses = Vec::new();
+    let mut silent = 0;
+    for addr in routers::parse_list(&flags.routers)? {
+        match routers::status(addr).await {
+            Ok(status) => statuses.push(status),
+            Err(err) => {
+                silent += 1;
+                writeln!(io::stderr(), "{addr}: {err}")?;
+            }
+        }
+    }
+    print(json, &statuses, |it| it.iter().map(status_line).collect::<Vec<_>>().join("\n"))?;
+    Ok(if silent == 0 { ExitCode::SUCCESS } else { ExitCode::from(2) })
+}
+
+fn status_line(status: &Status) -> String {
+    let live = status.endpoints.iter().filter(|it| it.health == "up").count();
+    let offset = |it: Option<u64>| it.map_or_else(|| "none".to_owned(), |it| it.to_string());
+    let mut line = format!(
+        "{:<12} {:<16} {:<10} head {} in force {} preset {} open {} routers {} endpoints {}/{}",
+        status.name,
+        status.zone,
+        status.state,
+        offset(status.head),
+        offset(status.in_force),
+        status.preset.as_deref().unwrap_or("none"),
+        status.open,
+        status.routers,
+        live,
+        status.endpoints.len(),
+    );
+    if let Some(fault) = &status.fault {
+        line.push_str(&format!("\n  fault: {fault}"));
+    }
+    line
+}
--- /dev/null
+++ b/crates/core/src/endpoints.rs
@@ -0,0 +1,9 @@
+//! The endpoints that a router knows, and their health.
+
+mod endpoint;
+mod table;
+
+pub use self::{
+    endpoint::{Endpoint, EndpointId, EndpointInfo, EndpointKind, LoadReport},
+    table::Endpoints,
+};
--- /dev/null
+++ b/crates/core/src/gate/ask.rs
@@ -0,0 +1,65 @@
+use serde::{Deserialize, Serialize};
+
+/// Identity of one request for admission.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct AskId {
+    /// The router that asks.
+    pub router: u32,
+    /// Counts the asks of that router.
+    pub serial: u32,
+}
+
+/// A request for admission to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Identity; a repeated ask is answered alike.
+    pub id: AskId,
+    /// Hash of the workspace's name.
+    pub workspace: u32,
+    /// The workspace's share, relative to the shares of others.
+    pub share: f32,
+    /// Priority of the request's class.
+    pub priority: u8,
+    /// Longest wait in the queue, in milliseconds; zero to be told at once.
+    pub queue_ms: u32,
+    /// Time after which a grant that was not released lapses, in milliseconds.
+    pub hold_ms: u32,
+    /// Mean load of the engines that the router asked before this one.
+    pub seen_mean: f32,
+}
+
+/// The gate's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// The request may go to the engine.
+    Granted,
+    /// The engine is at its bound; another may have room.
+    Full {
+        /// The engine's load.
+        load: u32,
+    },
+    /// The request waits; the answer follows.
+    Queued,
+    /// The request is turned away.
+    Refused {
+        /// When to come back, in milliseconds.
+        retry_ms: u32,
+    },
+}
+
+/// The limits of an engine at one moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limits {
+    /// Highest load as a multiple of the mean load.
+    pub bound: f64,
+    /// Most requests that run at once.
+    pub slots: u32,
+    /// Most requests that wait.
+    pub queue_limit: u32,
+    /// Total load of the engine's pool as known by gossip, this engine left out.
+    pub others_load: u32,
+    /// Number of engines in the pool.
+    pub engines: u32,
+}
--- /dev/null
+++ b/crates/core/src/gate/gate.rs
@@ -0,0 +1,252 @@
+use std::collections::HashMap;
+
+use super::{Ask, AskId, Limits, Verdict, waiters::Waiters};
+use crate::time::Millis;
+
+/// Share of an engine's slots above which workspaces are held to their shares.
+const CONTENTION: f64 = 0.75;
+/// Weight of the newest sample in the mean hold time.
+const HOLD_GAIN: f64 = 0.1;
+/// Mean hold time assumed before the first sample, in milliseconds.
+const INITIAL_HOLD_MS: f64 = 100.0;
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Grant {
+    workspace: u32,
+    share: f32,
+    at: Millis,
+    lapses_at: Millis,
+}
+
+/// Requests of one workspace that hold a grant.
+#[derive(Debug, Clone, Copy, Default)]
+struct Holding {
+    count: u32,
+    share: f32,
+}
+
+/// The admission state of one engine.
+#[derive(Debug)]
+pub struct Gate {
+    grants: HashMap<AskId, Grant>,
+    holdings: HashMap<u32, Holding>,
+    waiters: Waiters,
+    mean_hold_ms: f64,
+    inherited: u32,
+    inherited_until: Millis,
+}
+
+impl Default for Gate {
+    fn default() -> Gate {
+        Gate {
+            grants: HashMap::new(),
+            holdings: HashMap::new(),
+            waiters: Waiters::default(),
+            mean_hold_ms: INITIAL_HOLD_MS,
+            inherited: 0,
+            inherited_until: Millis::default(),
+        }
+    }
+}
+
+impl Gate {
+    /// Creates the gate of a router that takes an engine over.
+    ///
+    /// The load that the previous home had let in is unknown; until `until`
+    /// the engine's reported load stands for it.
+    pub fn inherit(reported: u32, until: Millis) -> Gate {
+        Gate { inherited: reported, inherited_until: until, ..Gate::default() }
+    }
+
+    /// Returns the number of requests let in and not yet released.
+    pub fn load(&self) -> u32 {
+        self.grants.len() as u32 + self.inherited
+    }
+
+    fn forget_inherited(&mut self, now: Millis) {
+        if now >= self.inherited_until {
+            self.inherited = 0;
+        }
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn queued(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Decides on a request for admission.
+    ///
+    /// Requests that must give up their place in the queue to a more urgent
+    /// one are added to `evicted`.
+    pub fn ask(
+        &mut self,
+        ask: Ask,
+        limits: &Limits,
+        now: Millis,
+        evicted: &mut Vec<(AskId, Verdict)>,
+    ) -> Verdict {
+        self.forget_inherited(now);
+        if self.grants.contains_key(&ask.id) {
+            return Verdict::Granted;
+        }
+        if self.waiters.contains(ask.id) {
+            return Verdict::Queued;
+        }
+        if self.may_enter(&ask, limits) {
+            self.grant(&ask, now);
+            return Verdict::Granted;
+        }
+        if ask.queue_ms == 0 {
+            return Verdict::Full { load: self.load() };
+        }
+        self.enqueue(ask, limits, now, evicted)
+    }
+
+    fn enqueue(
+        &mut self,
+        ask: Ask,
+        limits: &Limits,
+        now: Millis,
+        evicted: &mut Vec<(AskId, Verdict)>,
+    ) -> Verdict {
+        let refused = Verdict::Refused { retry_ms: self.retry_ms(limits) };
+        let over = self.is_over_share(&ask, limits);
+        if self.waiters.len() < limits.queue_limit as usize {
+            self.waiters.push(ask, now);
+            return Verdict::Queued;
+        }
+        let holdings = &self.holdings;
+        let is_over = |other: &Ask| is_over_share(holdings, other, limits);
+        match self.waiters.evict_below(&ask, over, is_over, now) {
+            Some(id) => {
+                evicted.push((id, refused));
+                self.waiters.push(ask, now);
+                Verdict::Queued
+            }
+            None => refused,
+        }
+    }
+
+    /// Takes back a grant or a place in the queue.
+    pub fn release(&mut self, id: AskId, now: Millis) {
+        self.waiters.remove(id);
+        if let Some(grant) = self.grants.remove(&id) {
+            self.forget_holding(&grant);
+            let held = now.since(grant.at) as f64;
+            self.mean_hold_ms += (held - self.mean_hold_ms) * HOLD_GAIN;
+        }
+    }
+
+    /// Takes back everything that a dead router held.
+    pub fn forget_router(&mut self, router: u32) {
+        self.waiters.remove_router(router);
+        let lost: Vec<AskId> =
+            self.grants.keys().filter(|id| id.router == router).copied().collect();
+        self.drop_grants(&lost);
+    }
+
+    /// Lets waiting requests in as far as the limits allow, and turns away
+    /// those that waited too long.
+    pub fn settle(&mut self, limits: &Limits, now: Millis) -> Vec<(AskId, Verdict)> {
+        self.forget_inherited(now);
+        let lapsed: Vec<AskId> =
+            self.grants.iter().filter(|(_, it)| now >= it.lapses_at).map(|(&id, _)| id).collect();
+        self.drop_grants(&lapsed);
+        let refused = Verdict::Refused { retry_ms: self.retry_ms(limits) };
+        let late = self.waiters.take_late(now);
+        let mut verdicts: Vec<_> = late.into_iter().map(|id| (id, refused)).collect();
+        while let Some(ask) = self.next_waiter(limits, now) {
+            self.waiters.remove(ask.id);
+            self.grant(&ask, now);
+            verdicts.push((ask.id, Verdict::Granted));
+        }
+        verdicts
+    }
+
+    fn next_waiter(&self, limits: &Limits, now: Millis) -> Option<Ask> {
+        let over = |ask: &Ask| self.is_over_share(ask, limits);
+        let ratio = |ask: &Ask| self.share_ratio(ask);
+        let best = self.waiters.best(over, ratio, now)?;
+        self.may_enter(&best, limits).then_some(best)
+    }
+
+    /// Returns whether the bound, the slots and the workspace's share leave
+    /// room for one more request.
+    ///
+    /// The last quarter of the slots is kept from workspaces over their share,
+    /// so that a surge does not make the others wait.
+    fn may_enter(&self, ask: &Ask, limits: &Limits) -> bool {
+        let has_room = self.load() < self.limit(f64::from(ask.seen_mean), limits);
+        has_room && !self.is_over_share(ask, limits)
+    }
+
+    /// Returns the highest load allowed now.
+    ///
+    /// Rounding up the mean keeps the bound reachable: some engine is always
+    /// at or below the mean, so not every engine can be full below its slots.
+    fn limit(&self, seen_mean: f64, limits: &Limits) -> u32 {
+        let total = f64::from(limits.others_load + self.load() + 1);
+        let mean = (total / f64::from(limits.engines.max(1))).max(seen_mean);
+        let bounded = (limits.bound * mean).floor().max(mean.ceil());
+        (bounded as u32).min(limits.slots)
+    }
+
+    fn is_over_share(&self, ask: &Ask, limits: &Limits) -> bool {
+        is_over_share(&self.holdings, ask, limits)
+    }
+
+    fn share_ratio(&self, ask: &Ask) -> f64 {
+        let held = self.holdings.get(&ask.workspace).map_or(0, |it| it.count);
+        f64::from(held) / f64::from(ask.share.max(f32::MIN_POSITIVE))
+    }
+
+    fn grant(&mut self, ask: &Ask, now: Millis) {
+        let grant = Grant {
+            workspace: ask.workspace,
+            share: ask.share,
+            at: now,
+            lapses_at: now + u64::from(ask.hold_ms),
+        };
+        self.grants.insert(ask.id, grant);
+        let holding = self.holdings.entry(ask.workspace).or_default();
+        holding.count += 1;
+        holding.share = grant.share;
+    }
+
+    fn drop_grants(&mut self, ids: &[AskId]) {
+        for id in ids {
+            if let Some(grant) = self.grants.remove(id) {
+                self.forget_holding(&grant);
+            }
+        }
+    }
+
+    fn forget_holding(&mut self, grant: &Grant) {
+        if let Some(holding) = self.holdings.get_mut(&grant.workspace) {
+            holding.count -= 1;
+            if holding.count == 0 {
+                self.holdings.remove(&grant.workspace);
+            }
+        }
+    }
+
+    fn retry_ms(&self, limits: &Limits) -> u32 {
+        let rounds = (self.waiters.len() as f64 / f64::from(limits.slots.max(1))).max(1.0);
+        (rounds * self.mean_hold_ms).clamp(50.0, 30_000.0) as u32
+    }
+}
+
+/// Returns whether one more request would put the workspace over its share of
+/// a contended engine.
+fn is_over_share(holdings: &HashMap<u32, Holding>, ask: &Ask, limits: &Limits) -> bool {
+    let load: u32 = holdings.values().map(|it| it.count).sum();
+    let slots = f64::from(limits.slots);
+    if f64::from(load) < slots * CONTENTION {
+        return false;
+    }
+    let own = holdings.get(&ask.workspace).map_or(0, |it| it.count);
+    let others: f32 =
+        holdings.iter().filter(|(id, _)| **id != ask.workspace).map(|(_, it)| it.share).sum();
+    let fair = slots * f64::from(ask.share) / f64::from(ask.share + others);
+    f64::from(own) >= fair.max(1.0)
+}
--- /dev/null
+++ b/crates/core/src/members.rs
@@ -0,0 +1,220 @@
+//! The routers of the fleet, as one router hears of them by gossip.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    hash::{hash32, rendezvous_score},
+    time::Millis,
+};
+
+/// Silence after which a router of a small fleet counts as dead, in
+/// milliseconds.
+pub const DEAD_AFTER_MS: u64 = 3_000;
+/// Routers up to which [`DEAD_AFTER_MS`] holds; a larger fleet's gossip takes
+/// proportionally longer to come round.
+const SMALL_FLEET: u64 = 32;
+/// How long a router that did not answer is passed over, in milliseconds.
+const SUSPECT_MS: u64 = 1_000;
+/// Silence after which a router is forgotten, in milliseconds.
+const FORGET_AFTER_MS: u64 = 60_000;
+
+/// One run of one router process.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RouterRef {
+    /// Hash of the router's name.
+    pub id: u32,
+    /// Start time in milliseconds in the high 44 bits, random bits below, so
+    /// that no two runs share one and a later run has the larger.
+    pub incarnation: u64,
+}
+
+/// What a router tells others of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The router.
+    pub router: RouterRef,
+    /// Grows with each heartbeat of one incarnation.
+    pub beat: u32,
+    /// Address of the callers' port.
+    pub http: SocketAddr,
+    /// Address of the peer port, for datagrams and head transfers.
+    pub peer: SocketAddr,
+    /// Hash of the router's data centre.
+    pub zone: u32,
+    /// Whether the router has begun a planned stop.
+    pub draining: bool,
+    /// Offset of its accepted head plus one; zero if it has none.
+    pub head: u64,
+}
+
+/// A router with the time that it was last heard of.
+#[derive(Debug, Clone, Copy)]
+pub struct Member {
+    /// The last heartbeat.
+    pub heartbeat: Heartbeat,
+    /// When a new heartbeat last arrived.
+    pub heard_at: Millis,
+    /// Until when the router is passed over because it did not answer.
+    pub suspect_until: Millis,
+}
+
+/// The routers that one router knows, itself included.
+#[derive(Debug, Clone)]
+pub struct Members {
+    own: RouterRef,
+    table: BTreeMap<u32, Member>,
+}
+
+impl Members {
+    /// Starts with the router's own heartbeat.
+    pub fn new(own: Heartbeat, now: Millis) -> Members {
+        let member = Member { heartbeat: own, heard_at: now, suspect_until: now };
+        Members { own: own.router, table: BTreeMap::from([(own.router.id, member)]) }
+    }
+
+    /// Returns this router.
+    pub fn own(&self) -> RouterRef {
+        self.own
+    }
+
+    /// Returns this router's heartbeat.
+    pub fn own_heartbeat(&self) -> Heartbeat {
+        self.table[&self.own.id].heartbeat
+    }
+
+    /// Changes this router's own heartbeat and counts it up.
+    pub fn beat(&mut self, now: Millis, change: impl FnOnce(&mut Heartbeat)) {
+        if let Some(member) = self.table.get_mut(&self.own.id) {
+            change(&mut member.heartbeat);
+            member.heartbeat.beat += 1;
+            member.heard_at = now;
+        }
+    }
+
+    /// Takes in a heartbeat heard directly or by gossip; returns whether it is
+    /// newer than the one known.
+    pub fn hear(&mut self, heartbeat: Heartbeat, now: Millis) -> bool {
+        if heartbeat.router.id == self.own.id {
+            return false;
+        }
+        let member = Member { heartbeat, heard_at: now, suspect_until: Millis::default() };
+        let dead_after = self.dead_after();
+        match self.table.get_mut(&heartbeat.router.id) {
+            Some(known) if !is_newer(&heartbeat, known, now, dead_after) => false,
+            Some(known) => {
+                // Others may relay heartbeats of a router that no longer answers us.
+                let suspect_until = known.suspect_until;
+                *known = Member { suspect_until, ..member };
+                true
+            }
+            None => {
+                self.table.insert(heartbeat.router.id, member);
+                true
+            }
+        }
+    }
+
+    /// Takes in a router that the VM list names but that was never heard of.
+    pub fn introduce(&mut self, heartbeat: Heartbeat, now: Millis) {
+        if !self.table.contains_key(&heartbeat.router.id) {
+            self.hear(heartbeat, now);
+        }
+    }
+
+    /// Forgets routers that have been silent for long.
+    pub fn expire(&mut self, now: Millis) {
+        let own = self.own.id;
+        let forget_after = FORGET_AFTER_MS + self.dead_after();
+        self.table.retain(|&id, it| id == own || now.since(it.heard_at) < forget_after);
+    }
+
+    /// Returns a router, alive or not.
+    pub fn get(&self, id: u32) -> Option<&Member> {
+        self.table.get(&id)
+    }
+
+    /// Passes over a router that did not answer in time.
+    pub fn suspect(&mut self, id: u32, now: Millis) {
+        if let Some(member) = self.table.get_mut(&id).filter(|_| id != self.own.id) {
+            member.suspect_until = now + SUSPECT_MS;
+        }
+    }
+
+    /// Returns the silence after which a router counts as dead, in milliseconds.
+    pub fn dead_after(&self) -> u64 {
+        DEAD_AFTER_MS * (self.table.len() as u64).div_ceil(SMALL_FLEET).max(1)
+    }
+
+    /// Iterates over the routers heard of lately, itself included.
+    pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Member> {
+        let own = self.own.id;
+        let dead_after = self.dead_after();
+        self.table.values().filter(move |it| {
+            let silent = now.since(it.heard_at) >= dead_after || now < it.suspect_until;
+            it.heartbeat.router.id == own || !silent
+        })
+    }
+
+    /// Iterates over the live routers other than this one.
+    pub fn peers(&self, now: Millis) -> impl Iterator<Item = &Member> {
+        let own = self.own.id;
+        self.alive(now).filter(move |it| it.heartbeat.router.id != own)
+    }
+
+    /// Returns the routers that take new work, best first for `key`: those of
+    /// `zone` by rendezvous hashing, then the rest.
+    pub fn rank(&self, key: u64, zone: u32, now: Millis) -> Vec<Heartbeat> {
+        let mut ranked: Vec<Heartbeat> =
+            self.alive(now).map(|it| it.heartbeat).filter(|it| !it.draining).collect();
+        ranked.sort_by(|a, b| {
+            let score = |it: &Heartbeat| rendezvous_score(key, u64::from(it.router.id), 1.0);
+            let local = |it: &Heartbeat| it.zone == zone;
+            local(b).cmp(&local(a)).then(score(b).total_cmp(&score(a)))
+        });
+        ranked
+    }
+
+    /// Returns the router that admits work to the endpoint with hash `endpoint`.
+    ///
+    /// A draining router stays an admission home until it exits.
+    pub fn admission_home(&self, endpoint: u32, now: Millis) -> Heartbeat {
+        let score = |it: &Member| {
+            rendezvous_score(u64::from(endpoint), u64::from(it.heartbeat.router.id), 1.0)
+        };
+        self.alive(now)
+            .max_by(|a, b| score(a).total_cmp(&score(b)))
+            .map_or_else(|| self.own_heartbeat(), |it| it.heartbeat)
+    }
+
+    /// Returns the witness for `key`: a live router, best in another data centre.
+    pub fn witness(&self, key: u64, now: Millis) -> Option<Heartbeat> {
+        let zone = self.own_heartbeat().zone;
+        let score = |it: &Heartbeat| rendezvous_score(key, u64::from(it.router.id), 1.0);
+        self.peers(now)
+            .map(|it| it.heartbeat)
+            .filter(|it| !it.draining && it.router.incarnation != 0)
+            .max_by(|a, b| {
+                let far = |it: &Heartbeat| it.zone != zone;
+                far(a).cmp(&far(b)).then(score(a).total_cmp(&score(b)))
+            })
+    }
+}
+
+/// A restarted router draws a new incarnation, which replaces the old one once
+/// that has fallen silent or whenever the new one speaks for itself later.
+fn is_newer(heartbeat: &Heartbeat, known: &Member, now: Millis, dead_after: u64) -> bool {
+    if heartbeat.router.incarnation == known.heartbeat.router.incarnation {
+        return heartbeat.beat > known.heartbeat.beat;
+    }
+    heartbeat.router.incarnation > known.heartbeat.router.incarnation
+        || now.since(known.heard_at) >= dead_after
+}
+
+/// Hashes a data centre's name for heartbeats.
+pub fn zone_hash(zone: &str) -> u32 {
+    hash32(zone.as_bytes())
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,36 @@
+//! Readings of a monotonic clock.
+
+use std::ops::{Add, Sub};
+
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds on a monotonic clock whose origin is the start of the process.
+///
+/// Readings of different processes are not comparable.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// Returns the time elapsed since `earlier`, or zero if `earlier` is later.
+    pub fn since(self, earlier: Millis) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<u64> for Millis {
+    type Output = Millis;
+
+    fn add(self, ms: u64) -> Millis {
+        Millis(self.0.saturating_add(ms))
+    }
+}
+
+impl Sub<u64> for Millis {
+    type Output = Millis;
+
+    fn sub(self, ms: u64) -> Millis {
+        Millis(self.0.saturating_sub(ms))
+    }
+}
--- /dev/null
+++ b/crates/replay/src/workload.rs
@@ -0,0 +1,267 @@
+//! Generation of traces in the manner of the two deployments.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::trace::{Event, Header, Trace, VERSION};
+
+/// Times that the surging workspace's rate is raised.
+const SURGE_FACTOR: f64 = 10.0;
+/// Chats that a workspace keeps open at once, for each unit of its weight.
+const CHATS_PER_WEIGHT: u32 = 12;
+/// Share of requests that begin a new chat.
+const NEW_CHAT: f64 = 0.08;
+
+/// A deployment whose traffic is generated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Deployment {
+    /// Softener firms: many short chats, bookings, fault-code look-ups.
+    Lagyviz,
+    /// Park rangers: long patrol logs, summaries, tags.
+    Senderos,
+}
+
+/// One kind of request in a deployment's mix.
+struct Kind {
+    class: &'static str,
+    weight: f64,
+    new_tokens: (u32, u32),
+    output_tokens: (u32, u32),
+    keyed: bool,
+}
+
+/// What the traffic of a deployment looks like.
+struct Profile {
+    name: &'static str,
+    model: &'static str,
+    zones: [&'static str; 3],
+    workspaces: [(&'static str, f64); 10],
+    kinds: [Kind; 6],
+}
+
+/// How much traffic to generate.
+#[derive(Debug, Clone, Copy)]
+pub struct Volume {
+    /// Requests.
+    pub requests: usize,
+    /// Mean rate outside the surge, in requests per second.
+    pub rate: f64,
+    /// Whether the third workspace surges during the middle third.
+    pub surge: bool,
+}
+
+const LAGYVIZ: Profile = Profile {
+    name: "lagyviz",
+    model: "resin-7b",
+    zones: ["gyor-hall", "tata-hall", "papa-hall"],
+    workspaces: [
+        ("balaton-lagy", 4.0),
+        ("tata-viz", 4.0),
+        ("papa-szerviz", 3.0),
+        ("kisalfold", 2.0),
+        ("bakony-so", 1.0),
+        ("duna-resin", 1.0),
+        ("raba-lagyito", 1.0),
+        ("vertes-aqua", 1.0),
+        ("marcal-soft", 1.0),
+        ("szigetkoz", 1.0),
+    ],
+    kinds: [
+        Kind {
+            class: "chat",
+            weight: 0.5,
+            new_tokens: (40, 160),
+            output_tokens: (40, 120),
+            keyed: false,
+        },
+        Kind {
+            class: "lookup",
+            weight: 0.2,
+            new_tokens: (20, 60),
+            output_tokens: (10, 40),
+            keyed: false,
+        },
+        Kind {
+            class: "briefing",
+            weight: 0.1,
+            new_tokens: (200, 800),
+            output_tokens: (80, 200),
+            keyed: false,
+        },
+        Kind {
+            class: "history",
+            weight: 0.05,
+            new_tokens: (0, 0),
+            output_tokens: (0, 0),
+            keyed: false,
+        },
+        Kind {
+            class: "booking",
+            weight: 0.1,
+            new_tokens: (0, 0),
+            output_tokens: (0, 0),
+            keyed: true,
+        },
+        Kind {
+            class: "dispatch",
+            weight: 0.05,
+            new_tokens: (0, 0),
+            output_tokens: (0, 0),
+            keyed: true,
+        },
+    ],
+};
+
+const SENDEROS: Profile = Profile {
+    name: "senderos",
+    model: "trail-13b",
+    zones: ["sala-heredia", "sala-cartago", "sala-turrialba"],
+    workspaces: [
+        ("parque-braulio", 4.0),
+        ("parque-irazu", 4.0),
+        ("parque-turrialba", 3.0),
+        ("parque-tapanti", 2.0),
+        ("reserva-grecia", 1.0),
+        ("reserva-prusia", 1.0),
+        ("sendero-barva", 1.0),
+        ("sendero-orosi", 1.0),
+        ("sendero-guayabo", 1.0),
+        ("centro-visitantes", 1.0),
+    ],
+    kinds: [
+        Kind {
+            class: "summary",
+            weight: 0.15,
+            new_tokens: (800, 3000),
+            output_tokens: (80, 200),
+            keyed: false,
+        },
+        Kind {
+            class: "question",
+            weight: 0.3,
+            new_tokens: (20, 80),
+            output_tokens: (20, 80),
+            keyed: false,
+        },
+        Kind {
+            class: "tagging",
+            weight: 0.3,
+            new_tokens: (100, 400),
+            output_tokens: (5, 20),
+            keyed: false,
+        },
+        Kind {
+            class: "bulletin",
+            weight: 0.1,
+            new_tokens: (0, 0),
+            output_tokens: (0, 0),
+            keyed: false,
+        },
+        Kind {
+            class: "report",
+            weight: 0.1,
+            new_tokens: (0, 0),
+            output_tokens: (0, 0),
+            keyed: true,
+        },
+        Kind {
+            class: "hazard",
+            weight: 0.05,
+            new_tokens: (0, 0),
+            output_tokens: (0, 0),
+            keyed: true,
+        },
+    ],
+};
+
+impl Deployment {
+    fn profile(self) -> &'static Profile {
+        match self {
+            Deployment::Lagyviz => &LAGYVIZ,
+            Deployment::Senderos => &SENDEROS,
+        }
+    }
+}
+
+impl std::str::FromStr for Deployment {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Deployment, String> {
+        match text {
+            "lagyviz" => Ok(Deployment::Lagyviz),
+            "senderos" => Ok(Deployment::Senderos),
+            _ => Err(format!("unknown deployment {text}")),
+        }
+    }
+}
+
+/// Generates a trace; the same arguments give the same trace.
+pub fn generate(deployment: Deployment, volume: Volume, seed: u64) -> Trace {
+    let profile = deployment.profile();
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut chats = [0u32; 10];
+    let mut at_ms = 0.0;
+    let mut events = Vec::with_capacity(volume.requests);
+    for n in 0..volume.requests {
+        let surging = volume.surge && (volume.requests / 3..volume.requests * 2 / 3).contains(&n);
+        let weights = weights(profile, surging);
+        let total: f64 = weights.iter().sum();
+        let base: f64 = profile.workspaces.iter().map(|it| it.1).sum();
+        let rate = volume.rate * total / base;
+        at_ms += -rng.random_range(f64::EPSILON..1.0).ln() * 1_000.0 / rate;
+        let workspace = pick(&mut rng, &weights);
+        events.push(make_event(profile, &mut rng, &mut chats, workspace, at_ms as u64));
+    }
+    let header = Header {
+        trace: VERSION,
+        deployment: profile.name.to_owned(),
+        model: profile.model.to_owned(),
+    };
+    Trace { header, events }
+}
+
+fn weights(profile: &Profile, surging: bool) -> Vec<f64> {
+    let factor = |at: usize| if surging && at == 2 { SURGE_FACTOR } else { 1.0 };
+    profile.workspaces.iter().enumerate().map(|(at, it)| it.1 * factor(at)).collect()
+}
+
+fn pick(rng: &mut Pcg64Mcg, weights: &[f64]) -> usize {
+    let mut left = rng.random_range(0.0..weights.iter().sum());
+    for (at, weight) in weights.iter().enumerate() {
+        left -= weight;
+        if left < 0.0 {
+            return at;
+        }
+    }
+    weights.len() - 1
+}
+
+fn make_event(
+    profile: &Profile,
+    rng: &mut Pcg64Mcg,
+    chats: &mut [u32; 10],
+    workspace: usize,
+    at_ms: u64,
+) -> Event {
+    let (name, weight) = profile.workspaces[workspace];
+    let kind = &profile.kinds[pick(rng, &profile.kinds.each_ref().map(|it| it.weight))];
+    if chats[workspace] == 0 || rng.random_bool(NEW_CHAT) {
+        chats[workspace] += 1;
+    }
+    let newest = chats[workspace];
+    let window = (CHATS_PER_WEIGHT * weight as u32).min(newest);
+    let chat = newest - rng.random_range(0..window);
+    let mut draw =
+        |(low, high): (u32, u32)| if high == 0 { 0 } else { rng.random_range(low..high) };
+    Event {
+        at_ms,
+        workspace: name.to_owned(),
+        chat: format!("c{chat}"),
+        class: kind.class.to_owned(),
+        // A chat's caller stays in one data centre.
+        zone: profile.zones[(chat as usize + workspace) % 3].to_owned(),
+        new_tokens: draw(kind.new_tokens),
+        output_tokens: draw(kind.output_tokens),
+        keyed: kind.keyed,
+    }
+}
--- /dev/null
+++ b/crates/router/src/deaths.rs
@@ -0,0 +1,95 @@
+//! Deaths of endpoints and the requests that were open at them.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use mimosaledge_core::{
+    endpoints::EndpointId,
+    quarantine::{CRASH_LIMIT, Death},
+};
+use mimosaledge_wire::{Blame, Message};
+use spdlog::warn;
+
+use crate::{node::Node, peer};
+
+/// Fingerprints in one datagram.
+const MAX_FINGERPRINTS: usize = 100;
+
+/// Fingerprints of the requests open at each endpoint through this router.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct OpenWork {
+    counts: Rc<RefCell<HashMap<EndpointId, HashMap<u64, u32>>>>,
+}
+
+/// Counts a request as open at an endpoint until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenGuard {
+    work: OpenWork,
+    endpoint: EndpointId,
+    fingerprint: u64,
+}
+
+impl OpenWork {
+    /// Counts a request as open.
+    pub(crate) fn open(&self, endpoint: EndpointId, fingerprint: u64) -> OpenGuard {
+        *self.counts.borrow_mut().entry(endpoint).or_default().entry(fingerprint).or_default() += 1;
+        OpenGuard { work: self.clone(), endpoint, fingerprint }
+    }
+
+    fn fingerprints(&self, endpoint: EndpointId) -> Vec<u64> {
+        let counts = self.counts.borrow();
+        counts.get(&endpoint).map(|it| it.keys().copied().collect()).unwrap_or_default()
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let mut counts = self.work.counts.borrow_mut();
+        let Some(open) = counts.get_mut(&self.endpoint) else { return };
+        if let Some(count) = open.get_mut(&self.fingerprint) {
+            *count -= 1;
+            if *count == 0 {
+                open.remove(&self.fingerprint);
+            }
+        }
+        if open.is_empty() {
+            counts.remove(&self.endpoint);
+        }
+    }
+}
+
+/// Blames the requests that are open at an endpoint whose process has died,
+/// and tells every peer.
+pub(crate) fn endpoint_died(node: &Rc<Node>, endpoint: EndpointId, incarnation: u32) {
+    let death = Death { endpoint, incarnation };
+    let mut fingerprints = node.open_work.fingerprints(endpoint);
+    fingerprints.truncate(MAX_FINGERPRINTS);
+    if fingerprints.is_empty() {
+        return;
+    }
+    let blame = Blame { death, fingerprints };
+    if note(node, &blame) {
+        peer::broadcast(node, &Message::Blame(blame));
+    }
+}
+
+/// Takes in the blame that a peer has laid.
+pub(crate) fn absorb(node: &Rc<Node>, blame: &Blame) {
+    note(node, blame);
+}
+
+/// Notes a blame; returns whether any of it was news.
+fn note(node: &Rc<Node>, blame: &Blame) -> bool {
+    let now = node.now();
+    let quarantine = &mut node.cores.borrow_mut().quarantine;
+    let mut news = false;
+    for &fingerprint in &blame.fingerprints {
+        if quarantine.blame(fingerprint, blame.death, now) {
+            let endpoint = blame.death.endpoint.0;
+            warn!(
+                "deaths: request {fingerprint:016x} was open when {endpoint:08x} died; limit {CRASH_LIMIT}"
+            );
+            news = true;
+        }
+    }
+    news
+}
--- /dev/null
+++ b/crates/router/src/follow.rs
@@ -0,0 +1,214 @@
+//! Following the platform's log and VM list, and peers that are ahead.
+
+use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
+
+use mimosaledge_core::{
+    endpoints::{EndpointId, EndpointInfo, EndpointKind},
+    hash::hash32,
+    head::Verdict,
+    members::{Heartbeat, RouterRef, zone_hash},
+};
+use mimosaledge_platform::{Page, Vm, VmKind, log::CONFIG_STREAM};
+use spdlog::{error, info, warn};
+use tokio::time;
+
+use crate::{
+    gossip,
+    node::{Cores, Node},
+    peer,
+};
+
+/// Follows the configuration stream until it is dropped.
+pub(crate) async fn follow_log(node: Rc<Node>) {
+    let mut ticks = ticker(node.settings.limits.follow_ms);
+    let mut was_up = true;
+    loop {
+        ticks.tick().await;
+        let from = node.cores.borrow().fold.next;
+        match node.log.read(CONFIG_STREAM, from).await {
+            Ok(page) => {
+                if !was_up {
+                    info!("follow: the log answers again");
+                }
+                was_up = true;
+                absorb_page(&node, &page);
+                write_snapshot_if_due(&node, &page).await;
+            }
+            Err(err) => {
+                if was_up {
+                    warn!("follow: the log is away: {err}");
+                }
+                was_up = false;
+            }
+        }
+    }
+}
+
+fn ticker(period_ms: u64) -> time::Interval {
+    let mut ticks = time::interval(Duration::from_millis(period_ms));
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    ticks
+}
+
+fn absorb_page(node: &Node, page: &Page) {
+    let before = node.cores.borrow().fold.head_offset();
+    {
+        let Cores { fold, newest_snapshot, .. } = &mut *node.cores.borrow_mut();
+        let records = page.records.iter().map(|it| (it.offset, it.body.as_str()));
+        if fold.restore(page.first, records.clone()) == Verdict::Restored {
+            info!("follow: history was lost; restored the head from a snapshot");
+        }
+        for (offset, body) in records {
+            if fold.apply(offset, body) == Verdict::Snapshot {
+                *newest_snapshot = Some(offset);
+            }
+        }
+    }
+    if node.cores.borrow().fold.head_offset() != before {
+        put_in_force(node);
+    }
+}
+
+/// Puts the accepted head in force and tells every peer.
+pub(crate) fn put_in_force(node: &Node) {
+    {
+        let cores = &mut *node.cores.borrow_mut();
+        let Some(head) = &cores.fold.head else { return };
+        if cores.in_force.follow(head) {
+            info!("follow: head {} is in force with preset {}", head.offset, head.preset);
+            node.metrics.head.set(head.offset as i64 + 1);
+            cores.life.apply("config_applied");
+        }
+        if let Some((offset, err)) = cores.in_force.fault() {
+            error!("follow: head {offset} cannot be put in force: {err}");
+        }
+    }
+    gossip::tell_all(node);
+}
+
+/// Restates the head well before the log drops the records it came from.
+///
+/// The live router with the lowest identity writes; a second writer does no
+/// harm.
+async fn write_snapshot_if_due(node: &Node, page: &Page) {
+    let record = {
+        let cores = node.cores.borrow();
+        let now = node.now();
+        let lowest = cores.members.alive(now).map(|it| it.heartbeat.router.id).min();
+        let Some(head) = cores.fold.head_offset() else { return };
+        let every = node.settings.limits.snapshot_every;
+        let newest = cores.newest_snapshot.max(Some(head)).unwrap_or(head);
+        let age = page.next.saturating_sub(newest);
+        let is_writer = lowest == Some(node.own.id);
+        // The log may have forgotten the head during an outage.
+        let lost = page.first > newest;
+        // Another router writes if the one whose turn it is cannot.
+        let due = lost || age >= every && is_writer || age >= 2 * every;
+        if !due || cores.fold.next != page.next {
+            return;
+        }
+        cores.fold.to_snapshot(format!("snapshot-{:x}-{}", node.own.incarnation, page.next))
+    };
+    let Some(record) = record else { return };
+    match node.log.append(CONFIG_STREAM, record.to_json()).await {
+        Ok(offset) => {
+            node.cores.borrow_mut().newest_snapshot = Some(offset);
+            info!("follow: wrote a snapshot at {offset}");
+        }
+        Err(err) => warn!("follow: writing a snapshot failed: {err}"),
+    }
+}
+
+/// Asks peers that are ahead for their head, whether or not the log answers.
+pub(crate) async fn follow_peers(node: Rc<Node>) {
+    let mut ticks = ticker(node.settings.limits.follow_ms);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = node.changed.notified() => {}
+        }
+        if let Some(peer) = find_ahead(&node) {
+            take_head_from(&node, peer).await;
+        }
+    }
+}
+
+fn find_ahead(node: &Node) -> Option<SocketAddr> {
+    let cores = node.cores.borrow();
+    let own = cores.fold.head_offset().map_or(0, |offset| offset + 1);
+    let needs = |head: u64| head > own || (cores.fold.gapped && head >= own && head > 0);
+    let ahead = cores.members.peers(node.now()).map(|it| it.heartbeat).filter(|it| needs(it.head));
+    ahead.max_by_key(|it| it.head).map(|it| it.peer)
+}
+
+async fn take_head_from(node: &Node, peer: SocketAddr) {
+    match peer::fetch_head(node, peer).await {
+        Ok(fold) => {
+            let before = node.cores.borrow().fold.head_offset();
+            let verdict = node.cores.borrow_mut().fold.adopt(&fold);
+            if verdict == Verdict::Restored && fold.head_offset() != before {
+                info!("follow: took over the head of {peer}");
+                put_in_force(node);
+            }
+        }
+        Err(err) => warn!("follow: asking {peer} for its head failed: {err}"),
+    }
+}
+
+/// Follows the VM list until it is dropped.
+pub(crate) async fn follow_list(node: Rc<Node>) {
+    let mut ticks = ticker(node.settings.limits.list_ms);
+    loop {
+        ticks.tick().await;
+        // During an outage the last list stays in use.
+        if let Ok(vms) = node.list.list().await {
+            absorb_list(&node, vms);
+        }
+    }
+}
+
+fn absorb_list(node: &Node, vms: Vec<Vm>) {
+    let now = node.now();
+    let cores = &mut *node.cores.borrow_mut();
+    let mut infos = Vec::new();
+    let mut leaving = HashSet::new();
+    for vm in vms {
+        match vm.kind {
+            VmKind::Router => {
+                if let Some(heartbeat) = first_heartbeat(&vm) {
+                    cores.members.introduce(heartbeat, now);
+                }
+            }
+            VmKind::Engine => infos.push(to_info(&vm, EndpointKind::Engine)),
+            VmKind::Service => infos.push(to_info(&vm, EndpointKind::Service)),
+        }
+        if vm.leaving {
+            leaving.insert(EndpointId::from_name(&vm.name));
+        }
+    }
+    cores.endpoints.follow_list(infos, &leaving);
+}
+
+/// Makes a stand-in for the heartbeat of a router that is listed but has not
+/// been heard of.
+fn first_heartbeat(vm: &Vm) -> Option<Heartbeat> {
+    Some(Heartbeat {
+        router: RouterRef { id: hash32(vm.name.as_bytes()), incarnation: 0 },
+        beat: 0,
+        http: vm.addr,
+        peer: vm.peer?,
+        zone: zone_hash(&vm.zone),
+        draining: vm.leaving,
+        head: 0,
+    })
+}
+
+fn to_info(vm: &Vm, kind: EndpointKind) -> EndpointInfo {
+    EndpointInfo {
+        name: vm.name.clone(),
+        kind,
+        addr: vm.addr,
+        zone: vm.zone.clone(),
+        region: vm.region.clone(),
+    }
+}
--- /dev/null
+++ b/crates/router/src/forward.rs
@@ -0,0 +1,54 @@
+//! Passing a request on to the router that is its key's home.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, header::HOST};
+use mimosaledge_platform::server::{ReplyBody, reply};
+use spdlog::info;
+use tokio::time;
+
+use crate::{node::Node, request::Ask};
+
+/// Longest wait for a home that may be paused, beyond which its witness judges.
+const SILENT_HOME: Duration = Duration::from_millis(1_000);
+/// Headers of the home's answer that go back to the caller.
+const PASSED_HEADERS: [&str; 3] = ["x-code", "retry-after", "x-kept-by"];
+
+/// Passes a request on to `home`; returns `None` if it gave no whole answer.
+///
+/// The home's own answers to a key are idempotent, so asking it is always safe.
+pub(crate) async fn pass_on(
+    node: &Rc<Node>,
+    ask: &Ask,
+    home: SocketAddr,
+) -> Option<Response<ReplyBody>> {
+    info!("route: {} of {} passed on to {home}, home of its key", ask.run_id, ask.workspace);
+    let left = Duration::from_millis(ask.time_left(node.now()));
+    time::timeout(left.min(SILENT_HOME), exchange(node, ask, home)).await.ok()?
+}
+
+async fn exchange(node: &Rc<Node>, ask: &Ask, home: SocketAddr) -> Option<Response<ReplyBody>> {
+    let mut connection = node.upstream.connect(home).await.ok()?;
+    let request = Request::post("/v1/run")
+        .header(HOST, home.to_string())
+        .header("x-forwarded-by", &*node.settings.name)
+        .header("x-workspace", &*ask.workspace)
+        .header("x-class", &*ask.class_name)
+        .header("x-chat", &*ask.chat)
+        .header("x-request-id", &*ask.id)
+        .header("idempotency-key", ask.key.as_deref()?)
+        .body(Full::new(ask.body.clone()))
+        .ok()?;
+    let answer = connection.send(request, SILENT_HOME).await.ok()?;
+    let (parts, body) = answer.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    connection.recycle();
+    let mut response = reply(parts.status.as_u16(), body);
+    for name in PASSED_HEADERS {
+        if let Some(value) = parts.headers.get(name) {
+            response.headers_mut().insert(name, value.clone());
+        }
+    }
+    Some(response)
+}
--- /dev/null
+++ b/crates/router/src/generate.rs
@@ -0,0 +1,450 @@
+//! Requests to model engines: placement, admission, streaming and resumption.
+
+use std::{fmt, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming, header::HOST};
+use mimosaledge_core::{
+    Code,
+    endpoints::{EndpointId, LoadReport},
+    gate::{self, AskId},
+    hash::hash32,
+    place::{ChatView, EngineView, PlaceHint},
+    quarantine::Standing,
+};
+use mimosaledge_platform::{
+    Category,
+    http::Call,
+    pool::{Connection, PoolError},
+    server::{Aborted, ReplyBody, channel_body},
+};
+use spdlog::{info, warn};
+use tokio::{sync::mpsc::Sender, time};
+
+use crate::{
+    admission::{Admission, Admitted, admit},
+    answer::{Refusal, set_header},
+    deaths::{self, OpenGuard},
+    front::OpenRequest,
+    node::{Node, preset},
+    relay::{Piece, Relay, StreamError},
+    request::Ask,
+};
+
+/// Engines asked for room before the request queues at the least loaded one.
+const MAX_ASKED: usize = 4;
+/// Times that a broken answer is taken up again.
+const MAX_RESUMES: u32 = 3;
+/// Pieces of an answer that wait for a slow caller.
+const STREAM_DEPTH: usize = 64;
+/// Longest time that a caller may leave a full buffer unread.
+const CALLER_LIMIT: Duration = Duration::from_secs(10);
+/// Longest wait for the proper end of an answer whose last piece has arrived.
+const END_LIMIT: Duration = Duration::from_millis(100);
+/// Longest wait for an engine that is asked whether it is alive.
+const ALIVE_LIMIT: Duration = Duration::from_millis(100);
+/// Pause before a suspect runs again, so that routers learn of its first
+/// crash before they could help it to a third.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a request was not started.
+struct NotStarted {
+    code: Code,
+    retry_ms: Option<u32>,
+}
+
+impl From<Code> for NotStarted {
+    fn from(code: Code) -> NotStarted {
+        NotStarted { code, retry_ms: None }
+    }
+}
+
+/// A request that runs on an engine.
+struct Run {
+    engine: EndpointId,
+    incarnation: u32,
+    relay: Relay,
+    connection: Connection,
+    _admission: Option<Admission>,
+    _open: OpenGuard,
+}
+
+/// Runs a request on an engine and streams the answer.
+pub(crate) async fn answer(
+    node: &Rc<Node>,
+    ask: &Rc<Ask>,
+    open: OpenRequest,
+) -> Response<ReplyBody> {
+    let run = match start(node, ask, 0, None).await {
+        Ok(run) => run,
+        Err(refused) => {
+            info!("route: {} of {} was refused: {}", ask.run_id, ask.workspace, refused.code);
+            let refusal = Refusal::new(node, refused.code);
+            let refusal = match refused.retry_ms {
+                Some(ms) => refusal.retry_after(u64::from(ms)),
+                None => refusal,
+            };
+            return refusal.into_response(refused.code);
+        }
+    };
+    let hint = PlaceHint { engine: run.engine, incarnation: run.incarnation };
+    let (sender, body) = channel_body(STREAM_DEPTH);
+    let (node, ask) = (Rc::clone(node), Rc::clone(ask));
+    let mut response = Response::new(body);
+    set_header(&mut response, "x-place-hint", &hint.to_string());
+    set_header(&mut response, "x-run-id", &ask.run_id);
+    tokio::task::spawn_local(async move {
+        let stream = Stream { node, ask, sender, resumes: 0 };
+        stream.relay(run).await;
+        drop(open);
+    });
+    response
+}
+
+/// The way of one answer to its caller.
+struct Stream {
+    node: Rc<Node>,
+    ask: Rc<Ask>,
+    sender: Sender<Result<Bytes, Aborted>>,
+    resumes: u32,
+}
+
+/// How the relaying of an answer ended.
+enum Ended {
+    Whole,
+    CallerGone,
+    Failed(StreamError),
+    Late,
+}
+
+impl Stream {
+    /// Relays an answer to its end, resuming it where it breaks.
+    async fn relay(mut self, mut run: Run) {
+        loop {
+            match self.relay_run(&mut run).await {
+                Ended::Whole => return self.finish(run).await,
+                Ended::CallerGone => return,
+                Ended::Late => return self.fail(Code::DeadlinePassed).await,
+                Ended::Failed(err) => match self.resume(run, err).await {
+                    Ok(next) => run = next,
+                    Err(code) => return self.fail(code).await,
+                },
+            }
+        }
+    }
+
+    async fn relay_run(&self, run: &mut Run) -> Ended {
+        let progress = Duration::from_millis(preset(&self.ask.active).progress_ms);
+        loop {
+            let left = Duration::from_millis(self.ask.time_left(self.node.now()));
+            if left.is_zero() {
+                return Ended::Late;
+            }
+            let (line, is_end) = match run.relay.read(progress.min(left)).await {
+                Ok(Piece::Token(line)) => (line, false),
+                Ok(Piece::End(line)) => (line, true),
+                Err(StreamError::Silent) if left < progress => return Ended::Late,
+                Err(err) => return Ended::Failed(err),
+            };
+            if !self.send(line).await {
+                return Ended::CallerGone;
+            }
+            if is_end {
+                return Ended::Whole;
+            }
+        }
+    }
+
+    async fn send(&self, line: Bytes) -> bool {
+        matches!(time::timeout(CALLER_LIMIT, self.sender.send(Ok(line))).await, Ok(Ok(())))
+    }
+
+    async fn finish(self, run: Run) {
+        self.node.cores.borrow_mut().quarantine.acquit(self.ask.fingerprint);
+        drop(self.sender);
+        if run.relay.finish(END_LIMIT).await {
+            run.connection.recycle();
+        }
+    }
+
+    /// Takes a broken answer up again from its next piece.
+    async fn resume(&mut self, run: Run, err: StreamError) -> Result<Run, Code> {
+        let (node, ask) = (&self.node, &self.ask);
+        warn!("route: {} broke at piece {}: {err}", ask.run_id, run.relay.next());
+        let died = check_alive(node, run.engine, run.incarnation).await;
+        self.resumes += 1;
+        let allowed = ask.class.idempotent
+            && self.resumes <= MAX_RESUMES
+            && node.cores.borrow_mut().budget.take(&ask.workspace);
+        if !allowed {
+            return Err(Code::AnswerBroken);
+        }
+        node.metrics.retries.inc();
+        match node.cores.borrow().quarantine.judge(ask.fingerprint, node.now()) {
+            Standing::Clean => {}
+            Standing::Suspect => {}
+            Standing::Refused(_) => return Err(Code::Quarantined),
+        }
+        if died {
+            time::sleep(SUSPECT_PAUSE).await;
+        }
+        let (next, failed) = (run.relay.next(), run.engine);
+        drop(run);
+        start(node, ask, next, Some(failed)).await.map_err(|refused| refused.code)
+    }
+
+    /// Ends an answer that cannot be completed with a numbered error.
+    async fn fail(self, code: Code) {
+        warn!("route: {} failed: {code}", self.ask.run_id);
+        self.node.metrics.answers.with_label_values(&[&code.as_u16().to_string()]).inc();
+        let mut line = Refusal::new(&self.node, code).to_json();
+        line.push(b'\n');
+        self.send(line.into()).await;
+    }
+}
+
+/// Starts a request on the first engine that lets it in.
+async fn start(
+    node: &Rc<Node>,
+    ask: &Rc<Ask>,
+    from: u32,
+    failed: Option<EndpointId>,
+) -> Result<Run, NotStarted> {
+    let (mut ranked, uses_gates) = rank(node, ask);
+    // An engine that just failed the request is the last resort.
+    if let Some(failed) = failed
+        && ranked.len() > 1
+    {
+        ranked.retain(|it| *it != failed);
+    }
+    let mut last = NotStarted::from(Code::NoEndpoint);
+    while !ranked.is_empty() {
+        let Placed { engine, admission, reason } = if uses_gates {
+            place(node, ask, &ranked).await?
+        } else {
+            Placed { engine: ranked[0], admission: None, reason: Reason::Ranked(0) }
+        };
+        log_route(node, ask, engine, &reason);
+        match open(node, ask, engine, admission, from).await {
+            Ok(run) => return Ok(run),
+            Err(OpenError::NotRun) => last = Code::EndpointRefused.into(),
+            Err(OpenError::Broken) => {
+                let died = check_alive(node, engine, incarnation(node, engine)).await;
+                if !may_retry(node, ask) {
+                    return Err(Code::AnswerBroken.into());
+                }
+                if died {
+                    time::sleep(SUSPECT_PAUSE).await;
+                }
+                if let Standing::Refused(wait) = judge(node, ask) {
+                    return Err(NotStarted {
+                        code: Code::Quarantined,
+                        retry_ms: Some(wait as u32),
+                    });
+                }
+            }
+        }
+        ranked.retain(|it| *it != engine);
+    }
+    Err(last)
+}
+
+fn may_retry(node: &Node, ask: &Ask) -> bool {
+    let allowed = ask.class.idempotent && node.cores.borrow_mut().budget.take(&ask.workspace);
+    if allowed {
+        node.metrics.retries.inc();
+    }
+    allowed
+}
+
+fn judge(node: &Node, ask: &Ask) -> Standing {
+    node.cores.borrow().quarantine.judge(ask.fingerprint, node.now())
+}
+
+fn incarnation(node: &Node, engine: EndpointId) -> u32 {
+    node.cores.borrow().endpoints.get(engine).map_or(0, |it| it.report.incarnation)
+}
+
+/// Ranks the live engines of the region for a request.
+fn rank(node: &Node, ask: &Ask) -> (Vec<EndpointId>, bool) {
+    let standing = judge(node, ask);
+    let cores = &mut *node.cores.borrow_mut();
+    let engines: Vec<EngineView> = cores
+        .endpoints
+        .live_engines(hash32(ask.model.as_bytes()))
+        .filter(|(_, it)| it.info.region == node.settings.region)
+        .map(|(id, it)| EngineView {
+            id,
+            incarnation: it.report.incarnation,
+            reported: it.report.load,
+            admitted: it.admitted,
+        })
+        .collect();
+    let chat = match standing {
+        // All copies of a suspect go to one engine, so that they cost but one.
+        Standing::Suspect => ChatView { key: ask.fingerprint, hint: None },
+        _ => ChatView { key: ask.chat_key(), hint: ask.hint },
+    };
+    (cores.policy.rank(&chat, &engines), cores.policy.uses_gates())
+}
+
+/// Why an engine was chosen.
+enum Reason {
+    /// It came at this place in the ranking and had room.
+    Ranked(usize),
+    /// Engines were at their bound; this one was the least loaded.
+    LeastLoaded,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Reason::Ranked(0) => f.write_str("first choice"),
+            Reason::Ranked(place) => write!(f, "choice {} had room", place + 1),
+            Reason::LeastLoaded => f.write_str("least loaded after waiting"),
+        }
+    }
+}
+
+struct Placed {
+    engine: EndpointId,
+    admission: Option<Admission>,
+    reason: Reason,
+}
+
+/// Finds an engine with room, or queues at the least loaded of those asked.
+async fn place(node: &Rc<Node>, ask: &Ask, ranked: &[EndpointId]) -> Result<Placed, NotStarted> {
+    let mut loads = Vec::new();
+    let mut retry_ms = None;
+    for (at, &engine) in ranked.iter().take(MAX_ASKED).enumerate() {
+        match admit(node, engine, gate_ask(node, ask, 0, 0.0)).await {
+            Admitted::Granted(admission) => {
+                let admission = Some(admission);
+                return Ok(Placed { engine, admission, reason: Reason::Ranked(at) });
+            }
+            Admitted::Full(load) => loads.push((load, engine)),
+            Admitted::Refused(ms) => retry_ms = Some(ms),
+        }
+    }
+    let Some(&(_, engine)) = loads.iter().min_by_key(|(load, _)| *load) else {
+        return Err(NotStarted { code: Code::Overloaded, retry_ms });
+    };
+    let total: u32 = loads.iter().map(|(load, _)| load).sum();
+    let mean = f64::from(total + 1) / loads.len() as f64;
+    let queue_ms = ask.class.queue_ms.min(ask.time_left(node.now()));
+    match admit(node, engine, gate_ask(node, ask, queue_ms, mean)).await {
+        Admitted::Granted(admission) => {
+            Ok(Placed { engine, admission: Some(admission), reason: Reason::LeastLoaded })
+        }
+        Admitted::Full(_) => Err(Code::Overloaded.into()),
+        Admitted::Refused(ms) => Err(NotStarted { code: Code::Overloaded, retry_ms: Some(ms) }),
+    }
+}
+
+fn gate_ask(node: &Node, ask: &Ask, queue_ms: u64, seen_mean: f64) -> gate::Ask {
+    gate::Ask {
+        id: AskId::default(),
+        workspace: ask.workspace_hash(),
+        share: ask.share as f32,
+        priority: ask.class.priority,
+        queue_ms: queue_ms as u32,
+        hold_ms: ask.time_left(node.now()) as u32,
+        seen_mean: seen_mean as f32,
+    }
+}
+
+fn log_route(node: &Node, ask: &Ask, engine: EndpointId, reason: &Reason) {
+    let waited = node.now().since(ask.arrived);
+    let cores = node.cores.borrow();
+    let name = cores.endpoints.get(engine).map_or("unknown", |it| &it.info.name);
+    info!(
+        "route: {} of {} chat {} class {} to {name}: {reason}, {waited} ms",
+        ask.run_id, ask.workspace, ask.chat, ask.class_name
+    );
+}
+
+/// Why a request did not start on the engine that let it in.
+enum OpenError {
+    /// The engine did not run the request.
+    NotRun,
+    /// The engine may have begun the request.
+    Broken,
+}
+
+async fn open(
+    node: &Rc<Node>,
+    ask: &Ask,
+    engine: EndpointId,
+    admission: Option<Admission>,
+    from: u32,
+) -> Result<Run, OpenError> {
+    let Some((addr, incarnation)) =
+        node.cores.borrow().endpoints.get(engine).map(|it| (it.info.addr, it.report.incarnation))
+    else {
+        return Err(OpenError::NotRun);
+    };
+    let open = node.open_work.open(engine, ask.fingerprint);
+    // A resumed request must not meet the connection that has just failed.
+    let connection =
+        if from == 0 { node.upstream.reuse(addr).await } else { node.upstream.connect(addr).await };
+    let Ok(mut connection) = connection else {
+        note_refused(node, engine);
+        return Err(OpenError::NotRun);
+    };
+    let request = Request::post("/generate")
+        .header(HOST, addr.to_string())
+        .header("x-request-id", &*ask.run_id)
+        .header("x-priority", u16::from(ask.class.priority))
+        .header("x-resume-from", from)
+        .body(Full::new(ask.body.clone()))
+        .map_err(|_| OpenError::NotRun)?;
+    let progress = preset(&ask.active).progress_ms.min(ask.time_left(node.now()));
+    let response = match connection.send(request, Duration::from_millis(progress)).await {
+        Ok(response) => response,
+        Err(PoolError::NotConnected) => return Err(OpenError::NotRun),
+        Err(PoolError::Broken) => return Err(OpenError::Broken),
+    };
+    check_head(&response, &ask.run_id)?;
+    let relay = Relay::new(response.into_body(), ask.run_id.clone(), from);
+    Ok(Run { engine, incarnation, relay, connection, _admission: admission, _open: open })
+}
+
+fn check_head(response: &Response<Incoming>, run_id: &str) -> Result<(), OpenError> {
+    if response.headers().contains_key("x-not-run") {
+        return Err(OpenError::NotRun);
+    }
+    let echoed = response.headers().get("x-request-id").is_some_and(|it| it == run_id);
+    if response.status() == 200 && echoed { Ok(()) } else { Err(OpenError::Broken) }
+}
+
+fn note_refused(node: &Rc<Node>, engine: EndpointId) {
+    let incarnation = incarnation(node, engine);
+    deaths::endpoint_died(node, engine, incarnation);
+    let now = node.now();
+    if let Some(endpoint) = node.cores.borrow_mut().endpoints.get_mut(engine) {
+        endpoint.refused(now);
+    }
+}
+
+/// Finds out whether the engine process that broke a connection has died, and
+/// blames the requests that were open at it if so.
+async fn check_alive(node: &Rc<Node>, engine: EndpointId, incarnation: u32) -> bool {
+    let Some(addr) = node.cores.borrow().endpoints.get(engine).map(|it| it.info.addr) else {
+        return false;
+    };
+    let answer = Call::get(addr, "/load").timeout(ALIVE_LIMIT).meter(&node.probe_meter);
+    let died = match answer.send_ok().await {
+        Ok(body) => serde_json::from_slice::<LoadReport>(&body)
+            .is_ok_and(|report| report.incarnation != incarnation),
+        Err(err) => err.category() == Category::Unreachable,
+    };
+    if died {
+        deaths::endpoint_died(node, engine, incarnation);
+        let now = node.now();
+        if let Some(endpoint) = node.cores.borrow_mut().endpoints.get_mut(engine) {
+            endpoint.refused(now);
+        }
+    }
+    died
+}
--- /dev/null
+++ b/crates/router/src/gossip.rs
@@ -0,0 +1,211 @@
+//! Gossip of heartbeats and endpoint states between routers.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use mimosaledge_core::{
+    Millis,
+    endpoints::{Endpoint, EndpointId, LoadReport},
+    hash::hash64,
+    members::Heartbeat,
+};
+use mimosaledge_wire::{Gossip, Message, Statement};
+use tokio::time;
+
+use crate::{
+    node::{Cores, Node},
+    peer,
+};
+
+/// Heartbeats in one datagram.
+const MAX_HEARTBEATS: usize = 12;
+/// Endpoint states in one datagram.
+const MAX_STATEMENTS: usize = 32;
+/// Age from which a statement is not passed on, in milliseconds.
+const MAX_AGE_MS: u64 = 5_000;
+
+/// What a router has to tell, and how often it has told it.
+#[derive(Debug, Default)]
+pub(crate) struct Digest {
+    observed: BTreeMap<EndpointId, Observation>,
+    told_routers: HashMap<u32, u32>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Observation {
+    at: Millis,
+    told: u32,
+}
+
+impl Digest {
+    /// Notes that the state of an endpoint was observed at `at`; returns
+    /// whether that is news.
+    pub(crate) fn observe(&mut self, endpoint: EndpointId, at: Millis) -> bool {
+        if self.observed.get(&endpoint).is_some_and(|known| known.at >= at) {
+            return false;
+        }
+        self.observed.insert(endpoint, Observation { at, told: 0 });
+        true
+    }
+
+    /// Returns the endpoints least often told about, and counts them as told.
+    fn take_endpoints(&mut self, now: Millis) -> Vec<(EndpointId, u64)> {
+        let mut young: Vec<(&EndpointId, &mut Observation)> =
+            self.observed.iter_mut().filter(|(_, it)| now.since(it.at) < MAX_AGE_MS).collect();
+        young.sort_by_key(|(_, it)| it.told);
+        young.truncate(MAX_STATEMENTS);
+        young
+            .into_iter()
+            .map(|(&endpoint, it)| {
+                it.told += 1;
+                (endpoint, now.since(it.at))
+            })
+            .collect()
+    }
+
+    /// Returns the heartbeats least often told about, and counts them as told.
+    fn take_heartbeats(&mut self, mut known: Vec<Heartbeat>) -> Vec<Heartbeat> {
+        let told = &mut self.told_routers;
+        known.sort_by_key(|it| told.get(&it.router.id).copied().unwrap_or(0));
+        known.truncate(MAX_HEARTBEATS - 1);
+        for heartbeat in &known {
+            *told.entry(heartbeat.router.id).or_default() += 1;
+        }
+        known
+    }
+}
+
+/// Tells a few peers each round until it is dropped.
+pub(crate) async fn run(node: Rc<Node>) {
+    let mut ticks = time::interval(Duration::from_millis(node.settings.limits.gossip_ms));
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        tell(&node);
+        housekeep(&node);
+    }
+}
+
+/// Tells a few peers what this router has heard lately.
+pub(crate) fn tell(node: &Node) {
+    let now = node.now();
+    beat(node, now);
+    for peer in choose_peers(node, now) {
+        let gossip = make_gossip(&mut node.cores.borrow_mut(), now);
+        peer::send(node, peer, &Message::Gossip(gossip));
+    }
+}
+
+/// Tells every peer, for changes that cannot wait for their turn.
+pub(crate) fn tell_all(node: &Node) {
+    let now = node.now();
+    beat(node, now);
+    let gossip = make_gossip(&mut node.cores.borrow_mut(), now);
+    peer::broadcast(node, &Message::Gossip(gossip));
+}
+
+fn beat(node: &Node, now: Millis) {
+    let draining = node.is_draining();
+    let cores = &mut *node.cores.borrow_mut();
+    let head = cores.fold.head_offset().map_or(0, |offset| offset + 1);
+    cores.members.beat(now, |own| {
+        own.draining = draining;
+        own.head = head;
+    });
+}
+
+/// Picks the peers of one round: a few live ones at random, or the seeds as
+/// long as no peer is known.
+fn choose_peers(node: &Node, now: Millis) -> Vec<SocketAddr> {
+    let fanout = node.settings.limits.gossip_fanout;
+    let mut peers: Vec<SocketAddr> =
+        node.cores.borrow().members.peers(now).map(|it| it.heartbeat.peer).collect();
+    if peers.is_empty() {
+        peers = node.settings.seeds.clone();
+        peers.retain(|it| *it != node.settings.peer);
+        return peers;
+    }
+    let salt = node.own.incarnation ^ now.0;
+    peers.sort_by_key(|it| hash64(&[&salt.to_le_bytes()[..], &it.port().to_le_bytes()].concat()));
+    peers.truncate(fanout);
+    peers
+}
+
+fn make_gossip(cores: &mut Cores, now: Millis) -> Gossip {
+    let own = cores.members.own_heartbeat();
+    let others = cores.members.peers(now).map(|it| it.heartbeat).collect();
+    let mut heartbeats = vec![own];
+    heartbeats.extend(cores.digest.take_heartbeats(others));
+    let young = cores.digest.take_endpoints(now);
+    let statements = young
+        .into_iter()
+        .filter_map(|(id, age)| Some(make_statement(cores.endpoints.get(id)?, age)))
+        .collect();
+    Gossip { from: own.router, heartbeats, statements }
+}
+
+fn make_statement(endpoint: &Endpoint, age: u64) -> Statement {
+    Statement {
+        endpoint: endpoint.id(),
+        incarnation: endpoint.report.incarnation,
+        age_ms: age as u32,
+        reported: endpoint.report.load,
+        admitted: endpoint.admitted,
+        model: endpoint.report.model,
+        up: endpoint.health() != "down",
+        leaving: endpoint.is_leaving(),
+    }
+}
+
+/// Takes in what a peer has heard.
+pub(crate) fn absorb(node: &Node, gossip: Gossip) {
+    let now = node.now();
+    let own_head = node.cores.borrow().fold.head_offset().map_or(0, |offset| offset + 1);
+    let behind = gossip.heartbeats.iter().any(|it| it.head > own_head);
+    let cores = &mut *node.cores.borrow_mut();
+    for heartbeat in gossip.heartbeats {
+        if cores.members.hear(heartbeat, now) {
+            cores.digest.told_routers.insert(heartbeat.router.id, 0);
+        }
+    }
+    for statement in gossip.statements {
+        absorb_statement(cores, &statement, now);
+    }
+    if behind {
+        node.changed.notify_one();
+    }
+}
+
+fn absorb_statement(cores: &mut Cores, statement: &Statement, now: Millis) {
+    let id = statement.endpoint;
+    // The admission home knows its endpoints at first hand.
+    if cores.members.admission_home(id.0, now).router == cores.members.own() {
+        return;
+    }
+    let at = now - u64::from(statement.age_ms);
+    if !cores.digest.observe(id, at) {
+        return;
+    }
+    let report = LoadReport {
+        incarnation: statement.incarnation,
+        load: statement.reported,
+        leaving: statement.leaving,
+        model: statement.model,
+    };
+    if let Some(endpoint) = cores.endpoints.get_mut(id) {
+        endpoint.stated(report, statement.admitted, statement.up, now);
+    }
+}
+
+/// Forgets what is old.
+fn housekeep(node: &Node) {
+    let now = node.now();
+    let cores = &mut *node.cores.borrow_mut();
+    cores.members.expire(now);
+    cores.home.expire(now);
+    cores.witness.expire(now);
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,44 @@
+//! The mimosaledge router.
+//!
+//! A router is one loop on one thread. Its decisions are made by the cores of
+//! `mimosaledge-core`; the modules here only move bytes between them, callers,
+//! endpoints, peers and the platform.
+//!
+//! | module | task |
+//! |---|---|
+//! | `front` | takes callers' requests apart and dispatches them |
+//! | `generate` | streams a model's answer, resuming where it breaks |
+//! | `once` | runs non-idempotent requests at most once |
+//! | `admission` | asks the admission home of an engine |
+//! | `peer` | exchanges datagrams with other routers |
+//! | `follow` | follows the platform's log and VM list |
+//! | `probe` | probes the endpoints that this router is home of |
+//! | `drain` | carries a planned stop out |
+
+mod admission;
+mod answer;
+mod deaths;
+mod drain;
+mod follow;
+mod forward;
+mod front;
+mod generate;
+mod gossip;
+mod locate;
+mod metrics;
+mod node;
+mod once;
+pub mod ops;
+mod peer;
+mod pending;
+mod probe;
+mod relay;
+mod request;
+mod service;
+pub mod settings;
+
+pub use crate::{
+    drain::StopHandle,
+    node::{Node, Sockets},
+    settings::Settings,
+};
--- /dev/null
+++ b/crates/router/src/locate.rs
@@ -0,0 +1,64 @@
+//! Answers to callers that ask which router to use.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use hyper::Response;
+use mimosaledge_core::{Code, members::zone_hash, once::KeyPrefix};
+use mimosaledge_platform::server::{ReplyBody, reply};
+use serde::Serialize;
+
+use crate::{
+    answer::{refuse, set_code},
+    node::Node,
+    request::chat_key,
+};
+
+/// Routers named in one answer.
+const MAX_ROUTERS: usize = 3;
+
+#[derive(Serialize)]
+struct Located {
+    /// Addresses of routers, best first.
+    routers: Vec<SocketAddr>,
+    /// How long the answer holds, in milliseconds.
+    keep_ms: u64,
+    /// Prefix for idempotency keys.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    key_prefix: Option<String>,
+}
+
+/// Answers `/locate`.
+pub(crate) fn answer(node: &Rc<Node>, query: &str) -> Response<ReplyBody> {
+    let field = |name: &str| {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.into_iter().find(|it| it.0 == name).map(|it| it.1)
+    };
+    let Some(active) = node.active() else { return refuse(node, Code::NoConfiguration) };
+    let workspace = field("workspace").unwrap_or("");
+    if !active.config.workspaces.contains_key(workspace) {
+        return refuse(node, Code::UnknownWorkspace);
+    }
+    let key = chat_key(workspace, field("chat").unwrap_or(""));
+    let zone = field("zone").map_or_else(|| zone_hash(&node.settings.zone), zone_hash);
+    let ranked = node.cores.borrow().members.rank(key, zone, node.now());
+    let routers: Vec<SocketAddr> = ranked.iter().take(MAX_ROUTERS).map(|it| it.http).collect();
+    if routers.is_empty() {
+        return refuse(node, Code::Draining);
+    }
+    let key_prefix = issue_prefix(node).map(|it| it.to_string());
+    let located = Located { routers, keep_ms: node.settings.limits.keep_ms, key_prefix };
+    let mut response = reply(200, serde_json::to_vec(&located).unwrap_or_default());
+    set_code(&mut response, Code::Done);
+    response
+}
+
+/// Gives out a prefix whose home is this router, unless it is about to stop.
+pub(crate) fn issue_prefix(node: &Node) -> Option<KeyPrefix> {
+    if node.is_draining() {
+        return None;
+    }
+    let serial = u64::from(node.next_serial());
+    let cores = &mut *node.cores.borrow_mut();
+    let witness = cores.members.witness(serial, node.now()).map(|it| it.router);
+    Some(cores.home.issue(witness))
+}
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,79 @@
+//! Prometheus metrics of a router.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Result, TextEncoder, process_collector::ProcessCollector,
+};
+
+/// Upper bounds of latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 10] = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.2, 1.0, 5.0, 20.0];
+
+/// The metrics of one router.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Answers, by result code.
+    pub(crate) answers: IntCounterVec,
+    /// Time to the first byte of an answer, by request class.
+    pub(crate) first_byte: HistogramVec,
+    /// Control bytes sent, by kind of message.
+    pub(crate) sent: IntCounterVec,
+    /// Control bytes received, by kind of message.
+    pub(crate) received: IntCounterVec,
+    /// Datagrams that were dropped because they did not decode.
+    pub(crate) undecodable: IntCounter,
+    /// Requests retried at another endpoint or on another connection.
+    pub(crate) retries: IntCounter,
+    /// Open requests.
+    pub(crate) open: IntGauge,
+    /// Offset of the head in force plus one.
+    pub(crate) head: IntGauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Result<Metrics> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        registry.register(Box::new(ProcessCollector::for_self()))?;
+        let opts = HistogramOpts::new("mimosaledge_first_byte_seconds", "Time to the first byte")
+            .buckets(LATENCY_BUCKETS.to_vec());
+        let first_byte = HistogramVec::new(opts, &["class"])?;
+        registry.register(Box::new(first_byte.clone()))?;
+        Ok(Metrics {
+            answers: counters("mimosaledge_answers_total", "Answers by result code", "code")?,
+            first_byte,
+            sent: counters("mimosaledge_control_sent_bytes", "Control bytes sent", "kind")?,
+            received: counters(
+                "mimosaledge_control_received_bytes",
+                "Control bytes received",
+                "kind",
+            )?,
+            undecodable: counter("mimosaledge_undecodable_total", "Datagrams dropped")?,
+            retries: counter("mimosaledge_retries_total", "Requests retried")?,
+            open: gauge("mimosaledge_open_requests", "Open requests")?,
+            head: gauge("mimosaledge_head", "Offset of the head in force plus one")?,
+            registry,
+        })
+    }
+
+    /// Encodes all metrics as text.
+    pub(crate) fn to_text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory cannot fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/crates/router/src/request.rs
@@ -0,0 +1,162 @@
+//! Callers' requests, taken apart and checked.
+
+use std::{rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Request, body::Incoming};
+use mimosaledge_core::{
+    Code, Millis, Name,
+    config::{Class, Target},
+    hash::{hash32, hash64},
+    head::Active,
+    place::PlaceHint,
+};
+use mimosaledge_platform::server::read_body;
+use serde::Deserialize;
+
+use crate::node::{Node, preset};
+
+/// Longest name or identity accepted from a caller, in bytes.
+const MAX_NAME_BYTES: usize = 128;
+
+/// A checked request.
+#[derive(Debug, Clone)]
+pub(crate) struct Ask {
+    /// The caller's identity for the request.
+    pub(crate) id: Name,
+    /// Identity used towards endpoints; unique in the fleet.
+    pub(crate) run_id: Name,
+    /// Name of the workspace.
+    pub(crate) workspace: Name,
+    /// The workspace's share.
+    pub(crate) share: f64,
+    /// Name of the chat.
+    pub(crate) chat: Name,
+    /// Name of the request class.
+    pub(crate) class_name: Name,
+    /// The request class.
+    pub(crate) class: Class,
+    /// The model, for engines.
+    pub(crate) model: Name,
+    /// The idempotency key as sent.
+    pub(crate) key: Option<Name>,
+    /// Where the chat last ran, as the caller says.
+    pub(crate) hint: Option<PlaceHint>,
+    /// Whether another router passed the request on.
+    pub(crate) forwarded: bool,
+    /// Hash of workspace and body.
+    pub(crate) fingerprint: u64,
+    /// The body.
+    pub(crate) body: Bytes,
+    /// The configuration that was in force when the request arrived.
+    pub(crate) active: Active,
+    /// When the request arrived.
+    pub(crate) arrived: Millis,
+}
+
+#[derive(Deserialize)]
+struct ModelName {
+    #[serde(default)]
+    model: Option<Name>,
+}
+
+impl Ask {
+    /// Reads and checks a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code with which to refuse it.
+    pub(crate) async fn read(node: &Rc<Node>, request: Request<Incoming>) -> Result<Ask, Code> {
+        let arrived = node.now();
+        let active = node.active().ok_or(Code::NoConfiguration)?;
+        let (parts, body) = request.into_parts();
+        let headers = &parts.headers;
+        let workspace = name(headers, "x-workspace")?.ok_or(Code::UnknownWorkspace)?;
+        let share = active.config.workspaces.get(&workspace).ok_or(Code::UnknownWorkspace)?.share;
+        let class_name = name(headers, "x-class")?.ok_or(Code::UnknownClass)?;
+        let class = active.config.classes.get(&class_name).ok_or(Code::UnknownClass)?.clone();
+        let id = name(headers, "x-request-id")?.unwrap_or_else(|| "unnamed".into());
+        let chat = name(headers, "x-chat")?.unwrap_or_else(|| Arc::clone(&id));
+        let key = key(headers)?;
+        if !class.idempotent && key.is_none() {
+            return Err(Code::MissingKey);
+        }
+        let forwarded = headers.contains_key("x-forwarded-by");
+        // A malformed hint is worth nothing, and is no reason to refuse.
+        let hint = name(headers, "x-place-hint").ok().flatten().and_then(|it| it.parse().ok());
+        let limit = preset(&active).body_limit;
+        let body = read_body(body, limit).await.map_err(|err| match err.kind() {
+            std::io::ErrorKind::InvalidData => Code::BodyTooLarge,
+            _ => Code::MalformedRequest,
+        })?;
+        let model = match class.target {
+            Target::Engine => known_model(&active, &body)?,
+            Target::Service => "".into(),
+        };
+        let run_id = format!("{:x}.{:x}.{id}", node.own.id, node.next_serial()).into();
+        let fingerprint = fingerprint(&workspace, &body);
+        Ok(Ask {
+            id,
+            run_id,
+            workspace,
+            share,
+            chat,
+            class_name,
+            class,
+            model,
+            key,
+            hint,
+            forwarded,
+            fingerprint,
+            body,
+            active,
+            arrived,
+        })
+    }
+
+    /// Returns the hash that places the chat.
+    pub(crate) fn chat_key(&self) -> u64 {
+        chat_key(&self.workspace, &self.chat)
+    }
+
+    /// Returns the hash of the workspace's name.
+    pub(crate) fn workspace_hash(&self) -> u32 {
+        hash32(self.workspace.as_bytes())
+    }
+
+    /// Returns the time left before the class's deadline, in milliseconds.
+    pub(crate) fn time_left(&self, now: Millis) -> u64 {
+        self.class.deadline_ms.saturating_sub(now.since(self.arrived))
+    }
+}
+
+/// Hashes a chat's workspace and name.
+pub(crate) fn chat_key(workspace: &str, chat: &str) -> u64 {
+    hash64(format!("{workspace}\0{chat}").as_bytes())
+}
+
+fn fingerprint(workspace: &str, body: &[u8]) -> u64 {
+    hash64(&[workspace.as_bytes(), b"\0", body].concat())
+}
+
+fn known_model(active: &Active, body: &[u8]) -> Result<Name, Code> {
+    let parsed: ModelName = serde_json::from_slice(body).map_err(|_| Code::MalformedRequest)?;
+    let model = parsed.model.ok_or(Code::MalformedRequest)?;
+    if active.config.models.contains_key(&model) { Ok(model) } else { Err(Code::NoEndpoint) }
+}
+
+fn name(headers: &HeaderMap, header: &str) -> Result<Option<Name>, Code> {
+    let Some(value) = headers.get(header) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| Code::MalformedRequest)?;
+    let allowed = |c: char| c.is_ascii_graphic() && c != '"' && c != '\\';
+    if text.is_empty() || text.len() > MAX_NAME_BYTES || !text.chars().all(allowed) {
+        return Err(Code::MalformedRequest);
+    }
+    Ok(Some(text.into()))
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<Name>, Code> {
+    let Some(value) = headers.get("idempotency-key") else { return Ok(None) };
+    let text = value.to_str().map_err(|_| Code::UnusableKey)?;
+    Ok(Some(text.into()))
+}
--- /dev/null
+++ b/crates/standin/src/engine/batch.rs
@@ -0,0 +1,228 @@
+use bytes::Bytes;
+use mimosaledge_platform::server::Aborted;
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc::Sender;
+
+use super::{
+    Fault,
+    cache::{PrefixCache, chain},
+    events::CacheEvents,
+    request::{Frame, Generate, checksum, output_segment, token},
+};
+
+/// Piece of an answer at which a faulty sequence misbehaves.
+const FAULT_AT: u32 = 2;
+
+/// One request in the batch.
+pub(super) struct Sequence {
+    id: String,
+    request: Generate,
+    priority: u8,
+    generated: u32,
+    prefill_left: Option<u32>,
+    cached: u32,
+    fault: Fault,
+    sender: Sender<Result<Bytes, Aborted>>,
+}
+
+impl Sequence {
+    pub(super) fn new(
+        id: String,
+        request: Generate,
+        priority: u8,
+        resume_from: u32,
+        fault: Fault,
+        sender: Sender<Result<Bytes, Aborted>>,
+    ) -> Sequence {
+        Sequence {
+            id,
+            request,
+            priority,
+            generated: resume_from,
+            prefill_left: None,
+            cached: 0,
+            fault,
+            sender,
+        }
+    }
+
+    fn prompt_tokens(&self) -> u32 {
+        self.request.segments.iter().map(|it| it.1).sum()
+    }
+
+    fn is_done(&self) -> bool {
+        self.prefill_left == Some(0) && self.generated >= self.request.output
+    }
+
+    fn send(&self, frame: &Frame) {
+        let mut line = serde_json::to_vec(frame).unwrap_or_default();
+        line.push(b'\n');
+        // A reader too slow for the channel's depth has given up.
+        let _ = self.sender.try_send(Ok(line.into()));
+    }
+
+    fn send_token(&mut self) {
+        let n = self.generated;
+        self.generated += 1;
+        let mut frame =
+            Frame { id: self.id.clone(), n, t: Some(token(&self.id, n)), ..Frame::default() };
+        if n >= FAULT_AT {
+            match self.fault {
+                Fault::Silent => return,
+                Fault::Cross => frame.id = "another-request".to_owned(),
+                Fault::Duplicate if n == FAULT_AT => self.send(&frame),
+                Fault::Truncate => {
+                    let _ = self.sender.try_send(Err(Aborted));
+                    return;
+                }
+                _ => {}
+            }
+        }
+        self.send(&frame);
+    }
+
+    fn send_end(&self) {
+        if self.fault == Fault::Silent {
+            return;
+        }
+        self.send(&Frame {
+            id: self.id.clone(),
+            n: self.generated,
+            t: None,
+            sum: Some(checksum(&self.id, self.generated)),
+            cached: Some(self.cached),
+        });
+    }
+}
+
+/// Totals since the engine started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Statistics {
+    /// Requests that ran to their end.
+    pub finished: u64,
+    /// Prompt tokens of all requests.
+    pub prompt_tokens: u64,
+    /// Prompt tokens served from the cache.
+    pub cached_tokens: u64,
+    /// Tokens generated.
+    pub output_tokens: u64,
+    /// Sequences that run or wait now.
+    pub load: u32,
+    /// Most sequences that ran or waited at once.
+    pub peak_load: u32,
+    /// Sequences that ran or waited, summed over all steps.
+    pub load_steps: u64,
+}
+
+/// The running and waiting sequences of an engine.
+pub(super) struct Batch {
+    slots: usize,
+    prefill_tokens: u32,
+    cache: PrefixCache,
+    running: Vec<Sequence>,
+    waiting: Vec<Sequence>,
+    statistics: Statistics,
+}
+
+impl Batch {
+    pub(super) fn new(slots: usize, prefill_tokens: u32, cache: PrefixCache) -> Batch {
+        Batch {
+            slots,
+            prefill_tokens,
+            cache,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            statistics: Statistics::default(),
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    pub(super) fn load(&self) -> u32 {
+        (self.running.len() + self.waiting.len()) as u32
+    }
+
+    pub(super) fn statistics(&self) -> Statistics {
+        Statistics { load: self.load(), ..self.statistics }
+    }
+
+    pub(super) fn submit(&mut self, sequence: Sequence) {
+        self.waiting.push(sequence);
+        self.statistics.peak_load = self.statistics.peak_load.max(self.load());
+    }
+
+    pub(super) fn cancel(&mut self, id: &str) {
+        self.running.retain(|it| it.id != id);
+        self.waiting.retain(|it| it.id != id);
+    }
+
+    /// Runs one step: admits, prefills or decodes each sequence, and retires
+    /// those that are done or whose reader has gone.
+    pub(super) fn step(&mut self, events: &mut CacheEvents) {
+        self.running.retain(|it| !it.sender.is_closed());
+        self.waiting.retain(|it| !it.sender.is_closed());
+        self.admit();
+        self.statistics.load_steps += u64::from(self.load());
+        for sequence in &mut self.running {
+            advance(sequence, self.prefill_tokens, &mut self.cache, &mut self.statistics);
+        }
+        let done: Vec<Sequence> = self.running.extract_if(.., |it| it.is_done()).collect();
+        for sequence in done {
+            self.retire(&sequence, events);
+        }
+    }
+
+    fn admit(&mut self) {
+        while self.running.len() < self.slots && !self.waiting.is_empty() {
+            let next = self.next_waiting();
+            self.running.push(self.waiting.remove(next));
+        }
+    }
+
+    /// Returns the place of the first waiting sequence of the highest priority.
+    fn next_waiting(&self) -> usize {
+        let priority = |at: usize| (self.waiting[at].priority, usize::MAX - at);
+        (0..self.waiting.len()).max_by_key(|&at| priority(at)).unwrap_or(0)
+    }
+
+    fn retire(&mut self, sequence: &Sequence, events: &mut CacheEvents) {
+        sequence.send_end();
+        self.statistics.finished += 1;
+        let mut segments = sequence.request.segments.clone();
+        segments.push((output_segment(&sequence.id), sequence.generated));
+        for block in self.cache.store(&segments) {
+            events.push(block, false);
+        }
+        for (block, _) in chain(&segments) {
+            events.push(block, true);
+        }
+    }
+}
+
+fn advance(
+    sequence: &mut Sequence,
+    chunk: u32,
+    cache: &mut PrefixCache,
+    statistics: &mut Statistics,
+) {
+    match sequence.prefill_left {
+        None => {
+            let prompt = sequence.prompt_tokens();
+            sequence.cached = cache.lookup(&sequence.request.segments);
+            // A resumed answer's tokens are prompt to the engine that resumes it.
+            let fresh = prompt - sequence.cached + sequence.generated;
+            sequence.prefill_left = Some(fresh.saturating_sub(chunk));
+            statistics.prompt_tokens += u64::from(prompt);
+            statistics.cached_tokens += u64::from(sequence.cached);
+        }
+        Some(0) => {
+            if sequence.generated < sequence.request.output {
+                sequence.send_token();
+                statistics.output_tokens += 1;
+            }
+        }
+        Some(left) => sequence.prefill_left = Some(left.saturating_sub(chunk)),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,114 @@
+//! The `mimosaledge-standin` program.
+
+use std::{fs, net::SocketAddr, path::PathBuf};
+
+use eyre::{Context, Result};
+use mimosaledge_platform::incarnation::draw_incarnation;
+use mimosaledge_standin::{engine, platform, service};
+use tokio::{
+    net::TcpListener,
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    task::LocalSet,
+};
+
+mod flags {
+    #![allow(missing_docs, unreachable_pub)]
+
+    use super::{PathBuf, SocketAddr};
+
+    xflags::xflags! {
+        /// Stand-ins for the platform and the endpoints.
+        cmd mimosaledge-standin {
+            /// Log service, VM list and weight store.
+            cmd platform {
+                /// Address to serve on.
+                required --addr addr: SocketAddr
+                /// JSON file with the list of VMs.
+                optional --vms vms: PathBuf
+            }
+            /// A model engine.
+            cmd engine {
+                /// Address to serve on.
+                required --addr addr: SocketAddr
+                /// Name, as in the VM list.
+                required --name name: String
+                /// Model served from the start.
+                optional --model model: String
+                /// Time of one step, in milliseconds.
+                optional --step-ms step_ms: u64
+                /// Sequences that run at once.
+                optional --slots slots: usize
+                /// Tokens that the prefix cache holds.
+                optional --cache-tokens cache_tokens: u64
+                /// Lag of load reports, in milliseconds.
+                optional --report-lag-ms report_lag_ms: u64
+                /// Refuse orders with an old fencing number.
+                optional --fenced
+                /// Address of the weight store.
+                optional --weights weights: SocketAddr
+            }
+            /// A plain service.
+            cmd service {
+                /// Address to serve on.
+                required --addr addr: SocketAddr
+                /// Time of one run, in milliseconds.
+                optional --work-ms work_ms: u64
+            }
+        }
+    }
+}
+
+fn main() -> Result<()> {
+    let flags = flags::MimosaledgeStandin::from_env_or_exit();
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let mut stop = signal(SignalKind::terminate())?;
+        tokio::select! {
+            result = serve(flags.subcommand) => result,
+            _ = stop.recv() => Ok(()),
+        }
+    })
+}
+
+async fn serve(command: flags::MimosaledgeStandinCmd) -> Result<()> {
+    use flags::MimosaledgeStandinCmd as Cmd;
+    match command {
+        Cmd::Platform(flags) => {
+            let vms = match &flags.vms {
+                Some(path) => {
+                    let text = fs::read_to_string(path).wrap_err("cannot read the VM list")?;
+                    serde_json::from_str(&text).wrap_err("malformed VM list")?
+                }
+                None => Vec::new(),
+            };
+            let settings = platform::Settings { vms, ..platform::Settings::default() };
+            platform::run(bind(flags.addr).await?, settings).await;
+        }
+        Cmd::Engine(flags) => engine::run(bind(flags.addr).await?, engine_settings(flags)).await,
+        Cmd::Service(flags) => {
+            let work_ms = flags.work_ms.unwrap_or(5);
+            service::run(bind(flags.addr).await?, draw_incarnation() as u32, work_ms).await;
+        }
+    }
+    Ok(())
+}
+
+fn engine_settings(flags: flags::Engine) -> engine::Settings {
+    engine::Settings {
+        name: flags.name,
+        incarnation: draw_incarnation() as u32,
+        model: flags.model.unwrap_or_default(),
+        step_ms: flags.step_ms.unwrap_or(3),
+        slots: flags.slots.unwrap_or(16),
+        prefill_tokens: 256,
+        cache_tokens: flags.cache_tokens.unwrap_or(200_000),
+        report_lag_ms: flags.report_lag_ms.unwrap_or(500),
+        fenced: flags.fenced,
+        weights: flags.weights,
+    }
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr).await.wrap_err_with(|| format!("cannot listen on {addr}"))
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,179 @@
+//! The platform: log service, VM list and weight store.
+
+mod log;
+mod vms;
+mod weights;
+
+use std::{cell::RefCell, rc::Rc};
+
+use hyper::{Method, Request, Response, body::Incoming};
+use mimosaledge_platform::{
+    Vm,
+    server::{ReplyBody, read_body, reply, serve},
+};
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, time::Instant};
+
+use self::{log::LogService, vms::LaggingList, weights::WeightStore};
+use crate::reply::{json, query};
+
+const BODY_LIMIT: usize = 4 << 20;
+
+/// How a service of the platform behaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    /// Answers.
+    #[default]
+    Up,
+    /// Answers every call with an error.
+    Down,
+    /// Never answers.
+    Hang,
+    /// Carries calls out and breaks the connection instead of answering.
+    LoseAnswers,
+}
+
+/// Changes to the running platform.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Control {
+    /// Behaviour of the log.
+    pub log: Option<Mode>,
+    /// Behaviour of the VM list.
+    pub list: Option<Mode>,
+    /// Lag of the VM list, in milliseconds.
+    pub list_lag_ms: Option<u64>,
+    /// Most records that a stream keeps.
+    pub keep_records: Option<usize>,
+    /// Appends allowed per second.
+    pub appends_per_s: Option<u32>,
+    /// New list of VMs, shown after the lag.
+    pub vms: Option<Vec<Vm>>,
+}
+
+/// Settings of the platform.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// VMs listed from the start.
+    pub vms: Vec<Vm>,
+    /// Lag of the VM list, in milliseconds.
+    pub list_lag_ms: u64,
+    /// Most records that a stream keeps.
+    pub keep_records: usize,
+    /// Appends allowed per second.
+    pub appends_per_s: u32,
+    /// Rate of the weight store, in mebibytes per second.
+    pub weight_mib_per_s: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            vms: Vec::new(),
+            list_lag_ms: 2_000,
+            keep_records: 10_000,
+            appends_per_s: 300,
+            weight_mib_per_s: 1_000,
+        }
+    }
+}
+
+struct State {
+    log: LogService,
+    list: LaggingList,
+    weights: WeightStore,
+    log_mode: Mode,
+    list_mode: Mode,
+}
+
+/// Serves on `listener`.
+pub async fn run(listener: TcpListener, settings: Settings) {
+    let state = State {
+        log: LogService::new(settings.keep_records, settings.appends_per_s),
+        list: LaggingList::new(settings.vms, settings.list_lag_ms),
+        weights: WeightStore::new(settings.weight_mib_per_s),
+        log_mode: Mode::Up,
+        list_mode: Mode::Up,
+    };
+    let state = Rc::new(RefCell::new(state));
+    serve(listener, move |request| handle(Rc::clone(&state), request)).await;
+}
+
+async fn handle(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let path = request.uri().path().to_owned();
+    if let Some(stream) = path.strip_prefix("/log/") {
+        let mode = state.borrow().log_mode;
+        return guarded(mode, serve_log(state, stream, request)).await;
+    }
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/vms") => {
+            let mode = state.borrow().list_mode;
+            guarded(mode, async move { json(state.borrow_mut().list.shown(Instant::now())) }).await
+        }
+        (&Method::POST, "/weights") => fetch_weights(state, &request).await,
+        (&Method::GET, "/weights") => json(&state.borrow().weights.statistics()),
+        (&Method::POST, "/control") => control(state, request).await,
+        _ => reply(404, "unknown path"),
+    }
+}
+
+async fn guarded(
+    mode: Mode,
+    answer: impl Future<Output = Response<ReplyBody>>,
+) -> Response<ReplyBody> {
+    match mode {
+        Mode::Up => answer.await,
+        Mode::Down => reply(503, "outage"),
+        Mode::Hang => std::future::pending().await,
+        Mode::LoseAnswers => {
+            answer.await;
+            std::future::pending().await
+        }
+    }
+}
+
+async fn serve_log(
+    state: Rc<RefCell<State>>,
+    stream: &str,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    if request.method() == Method::GET {
+        let from = query(request.uri().query(), "from").and_then(|it| it.parse().ok());
+        return json(&state.borrow().log.read(stream, from.unwrap_or(0)));
+    }
+    let Ok(body) = read_body(request.into_body(), BODY_LIMIT).await else {
+        return reply(400, "broken body");
+    };
+    let text = String::from_utf8_lossy(&body).into_owned();
+    match state.borrow_mut().log.append(stream, text, Instant::now()) {
+        Some(offset) => reply(200, format!("{{\"offset\":{offset}}}")),
+        None => reply(429, "append rate exceeded"),
+    }
+}
+
+async fn fetch_weights(
+    state: Rc<RefCell<State>>,
+    request: &Request<Incoming>,
+) -> Response<ReplyBody> {
+    let mib = query(request.uri().query(), "mib").and_then(|it| it.parse().ok()).unwrap_or(0);
+    let wait = state.borrow_mut().weights.fetch(mib, Instant::now());
+    tokio::time::sleep(wait).await;
+    reply(200, "")
+}
+
+async fn control(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let Ok(body) = read_body(request.into_body(), BODY_LIMIT).await else {
+        return reply(400, "broken body");
+    };
+    let control: Control = match serde_json::from_slice(&body) {
+        Ok(control) => control,
+        Err(err) => return reply(400, err.to_string()),
+    };
+    let mut state = state.borrow_mut();
+    state.log_mode = control.log.unwrap_or(state.log_mode);
+    state.list_mode = control.list.unwrap_or(state.list_mode);
+    state.log.set_limits(control.keep_records, control.appends_per_s);
+    state.list.set(control.vms, control.list_lag_ms, Instant::now());
+    reply(200, "")
+}
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,118 @@
+#!/usr/bin/env bash
+# Starts and stops a fleet with stand-ins on loopback.
+#
+#   fleet.sh start DEPLOYMENT [ROUTERS] [ENGINES]
+#   fleet.sh stop DEPLOYMENT
+#   fleet.sh pid DEPLOYMENT NAME          prints the process of one member
+#   fleet.sh restart DEPLOYMENT NAME      starts a member again
+#   fleet.sh addresses DEPLOYMENT         prints routers' ports as shell variables
+#
+# Environment: BIN (directory of the programs), POLICY, LOG_LEVEL,
+# CACHE_TOKENS, STEP_MS, SNAPSHOT_EVERY, KEEP_MS, BASE_PORT.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=${BIN:-target/release}
+command=${1:?command missing}
+deployment=${2:?deployment missing}
+run=run/$deployment
+. "deploy/$deployment/fleet.conf"
+base_port=${BASE_PORT:-$base_port}
+step_ms=${STEP_MS:-$step_ms}
+read -r -a zone_list <<<"$zones"
+read -r -a short_list <<<"$short_zones"
+
+# Starts member NAME with the command line in its file.
+launch() {
+  local name=$1
+  # shellcheck disable=SC2046
+  $(cat "$run/$name.cmd") >"$run/$name.out" 2>>"$run/$name.log" &
+  echo $! >"$run/$name.pid"
+}
+
+wait_for_port() {
+  for _ in $(seq 200); do
+    if (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; then return 0; fi
+    sleep 0.02
+  done
+  echo "nothing listens on port $1" >&2
+  return 1
+}
+
+describe() { # NAME KIND PORT ZONE [PEER_PORT]
+  local peer=""
+  [ -z "${5:-}" ] || peer="\"peer\":\"127.0.0.1:$5\","
+  printf '{"name":"%s","kind":"%s","addr":"127.0.0.1:%s",%s"zone":"%s","region":"%s"}' \
+    "$1" "$2" "$3" "$peer" "$4" "$region"
+}
+
+plan() {
+  local routers=$1 engines=$2 n zone short port name entries=()
+  mkdir -p "$run"
+  rm -f "$run"/*
+  local platform=$base_port
+  echo "$bin/mimosaledge-standin platform --addr 127.0.0.1:$platform --vms $run/vms.json" \
+    >"$run/platform.cmd"
+  for ((n = 0; n < engines; n++)); do
+    zone=${zone_list[n % 3]} short=${short_list[n % 3]}
+    name=$short-lm-$((n / 3 + 1)) port=$((base_port + 10 + n))
+    echo "$bin/mimosaledge-standin engine --addr 127.0.0.1:$port --name $name --model $model" \
+      "--step-ms $step_ms --cache-tokens ${CACHE_TOKENS:-200000}" >"$run/$name.cmd"
+    entries+=("$(describe "$name" engine "$port" "$zone")")
+  done
+  for ((n = 0; n < 3; n++)); do
+    name=${short_list[n]}-$service port=$((base_port + 1 + n))
+    echo "$bin/mimosaledge-standin service --addr 127.0.0.1:$port" >"$run/$name.cmd"
+    entries+=("$(describe "$name" service "$port" "${zone_list[n]}")")
+  done
+  local http=() ops=()
+  for ((n = 0; n < routers; n++)); do
+    zone=${zone_list[n % 3]} name=router-$((n + 1)) port=$((base_port + 500 + n * 3))
+    cat >"$run/$name.yaml" <<YAML
+kind: router
+name: $name
+zone: $zone
+region: $region
+http: 127.0.0.1:$port
+peer: 127.0.0.1:$((port + 1))
+ops: 127.0.0.1:$((port + 2))
+platform: 127.0.0.1:$platform
+seeds: ["127.0.0.1:$((base_port + 501))", "127.0.0.1:$((base_port + 504))"]
+policy: ${POLICY:-affine}
+log_level: ${LOG_LEVEL:-info}
+limits:
+  keep_ms: ${KEEP_MS:-2000}
+  snapshot_every: ${SNAPSHOT_EVERY:-500}
+YAML
+    echo "$bin/mimosaledge-router --settings $run/$name.yaml" >"$run/$name.cmd"
+    entries+=("$(describe "$name" router "$port" "$zone" $((port + 1)))")
+    http+=("127.0.0.1:$port") ops+=("127.0.0.1:$((port + 2))")
+  done
+  (IFS=,; echo "[${entries[*]}]" >"$run/vms.json"
+   echo "routers=${http[*]}" >"$run/addresses"
+   echo "ops=${ops[*]}" >>"$run/addresses")
+  echo "platform=127.0.0.1:$platform" >>"$run/addresses"
+}
+
+case $command in
+start)
+  plan "${3:-4}" "${4:-9}"
+  for file in "$run"/*.cmd; do launch "$(basename "$file" .cmd)"; done
+  . "$run/addresses"
+  for address in ${routers//,/ } ${ops//,/ } "$platform"; do wait_for_port "${address##*:}"; done
+  "$bin/mimosaledge" publish "deploy/$deployment/config.yaml" \
+    --platform "$platform" --routers "$ops" --wait
+  # Endpoints must have been probed once before the first request.
+  sleep 1.5
+  ;;
+stop)
+  for file in "$run"/*.pid; do
+    [ -e "$file" ] || continue
+    kill -CONT "$(cat "$file")" 2>/dev/null || true
+    kill -KILL "$(cat "$file")" 2>/dev/null || true
+  done
+  ;;
+pid) cat "$run/${3:?name missing}.pid" ;;
+restart) launch "${3:?name missing}" ;;
+addresses) cat "$run/addresses" ;;
+*) echo "unknown command $command" >&2; exit 2 ;;
+esac
