--- /dev/null
+++ b/crates/core/tests/cores.rs
@@ -0,0 +1,232 @@
+//! The smaller cores: membership, endpoint health, quarantine, budgets, charts.
+
+use std::{collections::HashSet, rc::Rc};
+
+use mimosaledge_core::{
+    Millis,
+    budget::RetryBudget,
+    chart::Chart,
+    code::Code,
+    endpoints::{EndpointId, EndpointInfo, EndpointKind, Endpoints, LoadReport},
+    members::{DEAD_AFTER_MS, Heartbeat, Members, RouterRef, zone_hash},
+    quarantine::{CRASH_MEMORY_MS, Death, Quarantine, Standing},
+};
+
+fn heartbeat(id: u32, incarnation: u64, beat: u32) -> Heartbeat {
+    let zone = ["a", "b", "c"][id as usize % 3];
+    Heartbeat {
+        router: RouterRef { id, incarnation },
+        beat,
+        http: ([127, 0, 0, 1], 1_000 + id as u16).into(),
+        peer: ([127, 0, 0, 1], 2_000 + id as u16).into(),
+        zone: zone_hash(zone),
+        draining: false,
+        head: 0,
+    }
+}
+
+fn fleet(count: u32) -> Members {
+    let mut members = Members::new(heartbeat(0, 1, 0), Millis(0));
+    for id in 1..count {
+        members.hear(heartbeat(id, 1, 0), Millis(0));
+    }
+    members
+}
+
+#[test]
+fn silent_router_is_dead_until_a_newer_heartbeat() {
+    let mut members = fleet(3);
+    members.hear(heartbeat(1, 1, 1), Millis(2_000));
+    let now = Millis(DEAD_AFTER_MS);
+    assert_eq!(members.peers(now).map(|it| it.heartbeat.router.id).collect::<Vec<_>>(), [1]);
+    // An old heartbeat that others still relay proves nothing.
+    assert!(!members.hear(heartbeat(2, 1, 0), now));
+    assert!(members.hear(heartbeat(2, 1, 1), now));
+    assert_eq!(members.peers(now).count(), 2);
+}
+
+#[test]
+fn restarted_router_replaces_its_earlier_run() {
+    let mut members = fleet(2);
+    assert!(members.hear(heartbeat(1, 2, 0), Millis(10)));
+    assert!(!members.hear(heartbeat(1, 1, 9), Millis(20)));
+    assert_eq!(members.get(1).unwrap().heartbeat.router.incarnation, 2);
+}
+
+#[test]
+fn suspected_router_is_passed_over_for_a_while() {
+    let mut members = fleet(4);
+    let home = members.admission_home(77, Millis(0)).router.id;
+    let other = members.witness(1, Millis(0)).unwrap().router.id;
+    members.suspect(other, Millis(0));
+    assert_ne!(members.witness(1, Millis(0)).unwrap().router.id, other);
+    members.suspect(home, Millis(0));
+    assert_eq!(members.admission_home(77, Millis(1_500)).router.id, home);
+}
+
+#[test]
+fn witness_is_in_another_zone() {
+    let members = fleet(9);
+    for key in 0..100 {
+        assert_ne!(members.witness(key, Millis(0)).unwrap().zone, zone_hash("a"));
+    }
+}
+
+#[test]
+fn draining_router_is_not_located() {
+    let mut members = fleet(6);
+    members.hear(Heartbeat { draining: true, ..heartbeat(3, 1, 1) }, Millis(0));
+    let ranked = members.rank(5, zone_hash("a"), Millis(0));
+    assert!(ranked.iter().all(|it| it.router.id != 3));
+    assert_eq!(ranked.len(), 5);
+    assert_eq!(ranked[0].zone, zone_hash("a"));
+}
+
+#[test]
+fn listed_router_that_was_never_heard_is_no_witness() {
+    let mut members = Members::new(heartbeat(0, 1, 0), Millis(0));
+    members.introduce(heartbeat(1, 0, 0), Millis(0));
+    assert_eq!(members.witness(1, Millis(0)), None);
+}
+
+fn endpoints() -> (Endpoints, EndpointId) {
+    let mut endpoints = Endpoints::new().unwrap();
+    let info = EndpointInfo {
+        name: "e1".into(),
+        kind: EndpointKind::Engine,
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        region: "r".into(),
+    };
+    endpoints.follow_list(vec![info], &HashSet::new());
+    (endpoints, EndpointId::from_name("e1"))
+}
+
+const REPORT: LoadReport = LoadReport { incarnation: 1, load: 0, leaving: false, model: 9 };
+
+#[test]
+fn unproven_endpoint_gets_no_work() {
+    let (endpoints, _) = endpoints();
+    assert_eq!(endpoints.live_engines(9).count(), 0);
+}
+
+#[test]
+fn endpoint_survives_one_failed_probe() {
+    let (mut endpoints, id) = endpoints();
+    let endpoint = endpoints.get_mut(id).unwrap();
+    endpoint.answered(REPORT, Millis(0));
+    endpoint.failed(Millis(1));
+    assert!(endpoint.is_live());
+    endpoint.failed(Millis(2));
+    assert!(!endpoint.is_live());
+}
+
+#[test]
+fn flapping_endpoint_stays_out_longer_each_time() {
+    let (mut endpoints, id) = endpoints();
+    let endpoint = endpoints.get_mut(id).unwrap();
+    endpoint.answered(REPORT, Millis(0));
+    let mut now = 0;
+    let mut waits = Vec::new();
+    for _ in 0..3 {
+        endpoint.refused(Millis(now));
+        let back = now;
+        while !endpoint.is_live() {
+            now += 100;
+            endpoint.answered(REPORT, Millis(now));
+        }
+        waits.push(now - back);
+    }
+    assert!(waits[0] < waits[1] && waits[1] < waits[2], "{waits:?}");
+}
+
+#[test]
+fn leaving_endpoint_comes_back_only_as_another_process() {
+    let (mut endpoints, id) = endpoints();
+    let endpoint = endpoints.get_mut(id).unwrap();
+    endpoint.answered(REPORT, Millis(0));
+    endpoint.leaving(1);
+    endpoint.answered(REPORT, Millis(1));
+    assert!(!endpoint.is_live());
+    endpoint.answered(LoadReport { incarnation: 2, ..REPORT }, Millis(2));
+    assert!(endpoint.is_live());
+}
+
+#[test]
+fn leave_notice_for_an_earlier_process_is_ignored() {
+    let (mut endpoints, id) = endpoints();
+    let endpoint = endpoints.get_mut(id).unwrap();
+    endpoint.answered(LoadReport { incarnation: 2, ..REPORT }, Millis(0));
+    endpoint.leaving(1);
+    assert!(endpoint.is_live());
+}
+
+fn death(endpoint: u32) -> Death {
+    Death { endpoint: EndpointId(endpoint), incarnation: 1 }
+}
+
+#[test]
+fn request_is_refused_after_two_deaths() {
+    let mut quarantine = Quarantine::default();
+    assert_eq!(quarantine.judge(1, Millis(0)), Standing::Clean);
+    assert!(quarantine.blame(1, death(1), Millis(0)));
+    assert_eq!(quarantine.judge(1, Millis(0)), Standing::Suspect);
+    // Many routers may tell of the same death.
+    assert!(!quarantine.blame(1, death(1), Millis(0)));
+    assert_eq!(quarantine.judge(1, Millis(0)), Standing::Suspect);
+    assert!(quarantine.blame(1, death(2), Millis(0)));
+    assert!(matches!(quarantine.judge(1, Millis(0)), Standing::Refused(_)));
+    assert_eq!(quarantine.judge(1, Millis(CRASH_MEMORY_MS)), Standing::Clean);
+}
+
+#[test]
+fn innocent_request_is_acquitted_by_a_whole_answer() {
+    let mut quarantine = Quarantine::default();
+    quarantine.blame(1, death(1), Millis(0));
+    quarantine.acquit(1);
+    quarantine.blame(1, death(2), Millis(0));
+    assert_eq!(quarantine.judge(1, Millis(0)), Standing::Suspect);
+}
+
+#[test]
+fn retries_are_a_share_of_requests() {
+    let mut budget = RetryBudget::default();
+    let workspace = "w".into();
+    while budget.take(&workspace) {}
+    for _ in 0..100 {
+        budget.credit(&workspace, 10);
+    }
+    let retries = (0..100).filter(|_| budget.take(&workspace)).count();
+    assert!((9..=10).contains(&retries), "{retries}");
+}
+
+#[test]
+fn chart_that_leads_nowhere_is_rejected() {
+    assert!(Chart::from_yaml("initial: a\nstates: { a: { go: b } }").is_err());
+    assert!(Chart::from_yaml("initial: b\nstates: { a: {} }").is_err());
+}
+
+#[test]
+fn chart_ignores_events_that_its_state_does_not_know() {
+    let chart = Chart::from_yaml("initial: a\nstates: { a: { go: b }, b: {} }").unwrap();
+    let mut machine = Rc::new(chart).start();
+    assert!(!machine.apply("other"));
+    assert!(machine.apply("go"));
+    assert!(!machine.apply("go"));
+    assert!(machine.is("b"));
+}
+
+#[test]
+fn codes_are_unique_and_ordered() {
+    let numbers: Vec<u16> = Code::ALL.iter().map(|it| it.as_u16()).collect();
+    assert!(numbers.is_sorted_by(|a, b| a < b));
+}
+
+#[test]
+fn every_code_is_in_the_table() {
+    let table = include_str!("../../../docs/CODES.md");
+    for code in Code::ALL {
+        let row = format!("| {} | {} |", code.as_u16(), code.message());
+        assert!(table.contains(&row), "missing: {row}");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/gate.rs
@@ -0,0 +1,184 @@
+//! Admission: the bound holds, shares are kept, and nobody waits for ever.
+
+use mimosaledge_core::{
+    Millis,
+    gate::{Ask, AskId, Gate, Limits, Verdict},
+};
+
+const LIMITS: Limits =
+    Limits { bound: 1.25, slots: 8, queue_limit: 4, others_load: 100, engines: 2 };
+
+/// An ask of `workspace` that may wait.
+fn ask(serial: u32, workspace: u32, priority: u8) -> Ask {
+    Ask {
+        id: AskId { router: 1, serial },
+        workspace,
+        share: 1.0,
+        priority,
+        queue_ms: 10_000,
+        hold_ms: 60_000,
+        seen_mean: 0.0,
+    }
+}
+
+fn decide(gate: &mut Gate, ask: Ask, limits: &Limits) -> Verdict {
+    gate.ask(ask, limits, Millis(0), &mut Vec::new())
+}
+
+/// Fills `gate` with `count` requests of `workspace`.
+fn fill(gate: &mut Gate, workspace: u32, count: u32) {
+    for serial in 0..count {
+        let ask = ask(1_000 * workspace + serial, workspace, 5);
+        assert_eq!(decide(gate, ask, &LIMITS), Verdict::Granted);
+    }
+}
+
+macro_rules! limits {
+    ($($name:ident: others $others:expr, engines $engines:expr => $admitted:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let limits = Limits { slots: 100, others_load: $others, engines: $engines, ..LIMITS };
+            let mut gate = Gate::default();
+            let admitted = (0..100)
+                .filter(|&serial| decide(&mut gate, Ask { queue_ms: 0, ..ask(serial, 1, 5) }, &limits) == Verdict::Granted)
+                .count();
+            assert_eq!(admitted, $admitted);
+        }
+    )*};
+}
+
+limits! {
+    idle_fleet_admits_one: others 0, engines 3 => 1;
+    // (9 + 4) / 3 is 4.33, and 1.25 times that is 5.4.
+    third_of_four_joins_at_the_bound: others 9, engines 3 => 6;
+    lone_engine_is_never_over_its_mean: others 0, engines 1 => 100;
+    high_mean_allows_a_quarter_more: others 80, engines 5 => 26;
+}
+
+#[test]
+fn bound_holds_in_a_pool_whatever_the_order_of_asks() {
+    let mut gates: Vec<Gate> = (0..9).map(|_| Gate::default()).collect();
+    for serial in 0..500u32 {
+        // Every chat prefers the first engine.
+        let placed = (0..9).any(|at| {
+            let others = gates.iter().enumerate().filter(|(it, _)| *it != at);
+            let others_load = others.map(|(_, gate)| gate.load()).sum();
+            let limits = Limits { slots: 1_000, others_load, engines: 9, ..LIMITS };
+            let ask = Ask { queue_ms: 0, ..ask(serial, serial % 10, 5) };
+            decide(&mut gates[at], ask, &limits) == Verdict::Granted
+        });
+        assert!(placed, "ask {serial} found every engine full");
+        let total: u32 = gates.iter().map(Gate::load).sum();
+        let mean = f64::from(total) / 9.0;
+        let max = f64::from(gates.iter().map(Gate::load).max().unwrap());
+        assert!(max <= (mean * 1.25).max(mean.ceil()), "{max} over a mean of {mean}");
+    }
+}
+
+#[test]
+fn repeated_ask_is_answered_alike() {
+    let mut gate = Gate::default();
+    assert_eq!(decide(&mut gate, ask(1, 1, 5), &LIMITS), Verdict::Granted);
+    assert_eq!(decide(&mut gate, ask(1, 1, 5), &LIMITS), Verdict::Granted);
+    assert_eq!(gate.load(), 1);
+}
+
+#[test]
+fn release_lets_the_next_in() {
+    let mut gate = Gate::default();
+    fill(&mut gate, 1, 8);
+    assert_eq!(decide(&mut gate, ask(1, 1, 5), &LIMITS), Verdict::Queued);
+    gate.release(AskId { router: 1, serial: 1_000 }, Millis(10));
+    let verdicts = gate.settle(&LIMITS, Millis(10));
+    assert_eq!(verdicts, [(AskId { router: 1, serial: 1 }, Verdict::Granted)]);
+}
+
+#[test]
+fn urgent_request_takes_the_place_of_a_batch_request() {
+    let mut gate = Gate::default();
+    fill(&mut gate, 1, 8);
+    for serial in 0..4 {
+        assert_eq!(decide(&mut gate, ask(serial, 1, 3), &LIMITS), Verdict::Queued);
+    }
+    let mut evicted = Vec::new();
+    let verdict = gate.ask(ask(9, 1, 9), &LIMITS, Millis(1), &mut evicted);
+    assert_eq!(verdict, Verdict::Queued);
+    assert_eq!(evicted.len(), 1);
+    assert_eq!(gate.queued(), 4);
+}
+
+#[test]
+fn full_queue_turns_away_at_once_with_a_time_to_come_back() {
+    let mut gate = Gate::default();
+    fill(&mut gate, 1, 8);
+    for serial in 0..4 {
+        decide(&mut gate, ask(serial, 1, 5), &LIMITS);
+    }
+    let verdict = decide(&mut gate, ask(9, 1, 5), &LIMITS);
+    assert!(matches!(verdict, Verdict::Refused { retry_ms } if retry_ms > 0));
+}
+
+#[test]
+fn late_waiters_are_turned_away() {
+    let mut gate = Gate::default();
+    fill(&mut gate, 1, 8);
+    decide(&mut gate, ask(1, 1, 5), &LIMITS);
+    let verdicts = gate.settle(&LIMITS, Millis(10_000));
+    assert!(matches!(verdicts[..], [(_, Verdict::Refused { .. })]));
+}
+
+#[test]
+fn lapsed_grants_are_taken_back() {
+    let mut gate = Gate::default();
+    fill(&mut gate, 1, 8);
+    gate.settle(&LIMITS, Millis(60_000));
+    assert_eq!(gate.load(), 0);
+}
+
+#[test]
+fn surging_workspace_leaves_room_for_the_others() {
+    let mut gate = Gate::default();
+    assert_eq!(decide(&mut gate, ask(0, 2, 5), &LIMITS), Verdict::Granted);
+    let surge = (1..100).filter(|&it| decide(&mut gate, Ask { queue_ms: 0, ..ask(it, 1, 5) }, &LIMITS) == Verdict::Granted);
+    assert_eq!(surge.count(), 5);
+    assert_eq!(decide(&mut gate, ask(200, 2, 5), &LIMITS), Verdict::Granted);
+    assert_eq!(decide(&mut gate, ask(201, 3, 5), &LIMITS), Verdict::Granted);
+}
+
+#[test]
+fn nobody_waits_for_ever() {
+    let mut gate = Gate::default();
+    fill(&mut gate, 1, 8);
+    let patient = Ask { queue_ms: 60_000, ..ask(1, 1, 0) };
+    assert_eq!(decide(&mut gate, patient, &LIMITS), Verdict::Queued);
+    // Urgent requests arrive as fast as places fall free.
+    for round in 0..60u32 {
+        let now = Millis(u64::from(round) * 100);
+        gate.ask(ask(2_000 + round, 1, 9), &LIMITS, now, &mut Vec::new());
+        gate.release(AskId { router: 1, serial: 1_000 + round }, now);
+        if round >= 8 {
+            gate.release(AskId { router: 1, serial: 2_000 + round - 8 }, now);
+        }
+        if gate.settle(&LIMITS, now).contains(&(patient.id, Verdict::Granted)) {
+            return;
+        }
+    }
+    panic!("the batch request was never let in");
+}
+
+#[test]
+fn new_home_counts_the_reported_load_for_a_while() {
+    let mut gate = Gate::inherit(8, Millis(2_000));
+    assert_eq!(decide(&mut gate, Ask { queue_ms: 0, ..ask(1, 1, 5) }, &LIMITS), Verdict::Full { load: 8 });
+    gate.settle(&LIMITS, Millis(2_000));
+    assert_eq!(gate.load(), 0);
+}
+
+#[test]
+fn dead_router_gives_everything_back() {
+    let mut gate = Gate::default();
+    fill(&mut gate, 1, 8);
+    decide(&mut gate, ask(1, 1, 5), &LIMITS);
+    gate.forget_router(1);
+    assert_eq!((gate.load(), gate.queued()), (0, 0));
+}
--- /dev/null
+++ b/crates/wire/tests/codec.rs
@@ -0,0 +1,78 @@
+//! Datagrams survive the round trip, and broken ones are rejected.
+
+use mimosaledge_core::{
+    endpoints::EndpointId,
+    gate::{AskId, Verdict},
+    members::RouterRef,
+    once::{Answer, KeyId, SealReply},
+};
+use mimosaledge_wire::{Error, Gossip, MAX_DATAGRAM_BYTES, Message, decode, encode};
+use proptest::{collection::vec, prelude::any, proptest};
+
+macro_rules! round_trips {
+    ($($name:ident: $message:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let message = $message;
+            assert_eq!(decode(&encode(&message).unwrap()), Ok(message));
+        }
+    )*};
+}
+
+round_trips! {
+    gossip_round_trips: Message::Gossip(Gossip {
+        from: RouterRef { id: 1, incarnation: u64::MAX },
+        heartbeats: Vec::new(),
+        statements: Vec::new(),
+    });
+    verdict_round_trips: Message::Verdict {
+        engine: EndpointId(1),
+        id: AskId { router: 2, serial: 3 },
+        verdict: Verdict::Refused { retry_ms: 4 },
+    };
+    seal_reply_round_trips: Message::SealReply {
+        key: KeyId(u128::MAX),
+        reply: SealReply::Done(Answer { status: 200, body: Some(vec![0; 1_024]) }),
+    };
+}
+
+#[test]
+fn empty_datagram_is_rejected() {
+    assert_eq!(decode(&[]), Err(Error::Malformed));
+}
+
+#[test]
+fn other_version_is_rejected() {
+    let mut datagram = encode(&Message::FinishAck { key: KeyId(1) }).unwrap();
+    datagram[0] += 1;
+    assert_eq!(decode(&datagram), Err(Error::Version));
+}
+
+#[test]
+fn trailing_bytes_are_rejected() {
+    let mut datagram = encode(&Message::FinishAck { key: KeyId(1) }).unwrap();
+    datagram.push(0);
+    assert_eq!(decode(&datagram), Err(Error::Malformed));
+}
+
+#[test]
+fn oversized_message_is_not_encoded() {
+    let answer = Answer { status: 200, body: Some(vec![0; MAX_DATAGRAM_BYTES]) };
+    let message = Message::Finish { key: KeyId(1), answer: Some(answer) };
+    assert_eq!(encode(&message), Err(Error::TooLarge));
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in vec(any::<u8>(), 0..2_000)) {
+        let _ = decode(&bytes);
+    }
+
+    #[test]
+    fn damaged_datagrams_never_panic(at in 0..20usize, value in any::<u8>()) {
+        let mut datagram = encode(&Message::FinishAck { key: KeyId(u128::MAX) }).unwrap();
+        let at = at % datagram.len();
+        datagram[at] = value;
+        let _ = decode(&datagram);
+    }
+}
