--- a/crates/core/src/gate/ask.rs
+++ b/crates/core/src/gate/ask.rs
@@ -26,7 +26,12 @@
     pub queue_ms: u32,
     /// Time after which a grant that was not released lapses, in milliseconds.
     pub hold_ms: u32,
-    /// Mean load of the engines that the router asked before this one.
+    /// Hash of the request; copies of one request run one after another.
+    pub fingerprint: u64,
+    /// Whether the request was open when an endpoint died; an engine runs one
+    /// such request at a time.
+    pub suspect: bool,
+    /// Mean load of the pool as the router has seen it.
     pub seen_mean: f32,
 }
 
@@ -34,12 +39,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
     /// The request may go to the engine.
-    Granted,
+    Granted {
+        /// The engine's load, this request included.
+        load: u32,
+    },
     /// The engine is at its bound; another may have room.
     Full {
         /// The engine's load.
         load: u32,
     },
+    /// A copy of the request runs on the engine; wait for its end here, since
+    /// another engine might die of it too.
+    Duplicate,
     /// The request waits; the answer follows.
     Queued,
     /// The request is turned away.
@@ -49,6 +60,13 @@
     },
 }
 
+impl Verdict {
+    /// Returns whether the request may go to the engine.
+    pub fn is_granted(&self) -> bool {
+        matches!(self, Verdict::Granted { .. })
+    }
+}
+
 /// The limits of an engine at one moment.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limits {
--- a/crates/core/src/gate/gate.rs
+++ b/crates/core/src/gate/gate.rs
@@ -3,6 +3,8 @@
 use super::{Ask, AskId, Limits, Verdict, waiters::Waiters};
 use crate::time::Millis;
 
+/// How long a mean load that a router has seen counts, in milliseconds.
+const SEEN_MS: u64 = 100;
 /// Share of an engine's slots above which workspaces are held to their shares.
 const CONTENTION: f64 = 0.75;
 /// Weight of the newest sample in the mean hold time.
@@ -14,6 +16,8 @@
 pub(super) struct Grant {
     workspace: u32,
     share: f32,
+    fingerprint: u64,
+    suspect: bool,
     at: Millis,
     lapses_at: Millis,
 }
@@ -34,6 +38,8 @@
     mean_hold_ms: f64,
     inherited: u32,
     inherited_until: Millis,
+    seen_mean: f64,
+    seen_at: Millis,
 }
 
 impl Default for Gate {
@@ -45,6 +51,8 @@
             mean_hold_ms: INITIAL_HOLD_MS,
             inherited: 0,
             inherited_until: Millis::default(),
+            seen_mean: 0.0,
+            seen_at: Millis::default(),
         }
     }
 }
@@ -86,15 +94,18 @@
         evicted: &mut Vec<(AskId, Verdict)>,
     ) -> Verdict {
         self.forget_inherited(now);
+        self.see(f64::from(ask.seen_mean), now);
         if self.grants.contains_key(&ask.id) {
-            return Verdict::Granted;
+            return Verdict::Granted { load: self.load() };
         }
         if self.waiters.contains(ask.id) {
             return Verdict::Queued;
         }
         if self.may_enter(&ask, limits) {
-            self.grant(&ask, now);
-            return Verdict::Granted;
+            return self.grant(&ask, now);
+        }
+        if ask.queue_ms == 0 && self.has_copy(&ask) {
+            return Verdict::Duplicate;
         }
         if ask.queue_ms == 0 {
             return Verdict::Full { load: self.load() };
@@ -157,17 +168,16 @@
         let mut verdicts: Vec<_> = late.into_iter().map(|id| (id, refused)).collect();
         while let Some(ask) = self.next_waiter(limits, now) {
             self.waiters.remove(ask.id);
-            self.grant(&ask, now);
-            verdicts.push((ask.id, Verdict::Granted));
+            let granted = self.grant(&ask, now);
+            verdicts.push((ask.id, granted));
         }
         verdicts
     }
 
     fn next_waiter(&self, limits: &Limits, now: Millis) -> Option<Ask> {
-        let over = |ask: &Ask| self.is_over_share(ask, limits);
+        let may_enter = |ask: &Ask| self.may_enter(ask, limits);
         let ratio = |ask: &Ask| self.share_ratio(ask);
-        let best = self.waiters.best(over, ratio, now)?;
-        self.may_enter(&best, limits).then_some(best)
+        self.waiters.best(may_enter, ratio, now)
     }
 
     /// Returns whether the bound, the slots and the workspace's share leave
@@ -176,17 +186,29 @@
     /// The last quarter of the slots is kept from workspaces over their share,
     /// so that a surge does not make the others wait.
     fn may_enter(&self, ask: &Ask, limits: &Limits) -> bool {
-        let has_room = self.load() < self.limit(f64::from(ask.seen_mean), limits);
-        has_room && !self.is_over_share(ask, limits)
+        self.load() < self.limit(limits)
+            && !self.is_over_share(ask, limits)
+            && !self.is_barred_suspect(ask)
+            && !self.has_copy(ask)
+    }
+
+    fn has_copy(&self, ask: &Ask) -> bool {
+        self.grants.values().any(|it| it.fingerprint == ask.fingerprint)
+    }
+
+    /// Suspects run apart, so that an innocent one is not open at the death
+    /// that the guilty one causes next.
+    fn is_barred_suspect(&self, ask: &Ask) -> bool {
+        ask.suspect && self.grants.values().any(|it| it.suspect)
     }
 
     /// Returns the highest load allowed now.
     ///
     /// Rounding up the mean keeps the bound reachable: some engine is always
     /// at or below the mean, so not every engine can be full below its slots.
-    fn limit(&self, seen_mean: f64, limits: &Limits) -> u32 {
+    fn limit(&self, limits: &Limits) -> u32 {
         let total = f64::from(limits.others_load + self.load() + 1);
-        let mean = (total / f64::from(limits.engines.max(1))).max(seen_mean);
+        let mean = (total / f64::from(limits.engines.max(1))).max(self.seen_mean);
         let bounded = (limits.bound * mean).floor().max(mean.ceil());
         (bounded as u32).min(limits.slots)
     }
@@ -200,10 +222,12 @@
         f64::from(held) / f64::from(ask.share.max(f32::MIN_POSITIVE))
     }
 
-    fn grant(&mut self, ask: &Ask, now: Millis) {
+    fn grant(&mut self, ask: &Ask, now: Millis) -> Verdict {
         let grant = Grant {
             workspace: ask.workspace,
             share: ask.share,
+            fingerprint: ask.fingerprint,
+            suspect: ask.suspect,
             at: now,
             lapses_at: now + u64::from(ask.hold_ms),
         };
@@ -211,6 +235,16 @@
         let holding = self.holdings.entry(ask.workspace).or_default();
         holding.count += 1;
         holding.share = grant.share;
+        Verdict::Granted { load: self.load() }
+    }
+
+    /// Takes in the pool's mean load as a router has seen it, which may be
+    /// newer than what gossip tells.
+    fn see(&mut self, mean: f64, now: Millis) {
+        if mean >= self.seen_mean || now.since(self.seen_at) >= SEEN_MS {
+            self.seen_mean = mean;
+            self.seen_at = now;
+        }
     }
 
     fn drop_grants(&mut self, ids: &[AskId]) {
--- a/crates/core/src/gate/waiters.rs
+++ b/crates/core/src/gate/waiters.rs
@@ -56,23 +56,22 @@
         late
     }
 
-    /// Returns the request to let in next: workspaces within their share
-    /// first, then by aged priority, then the workspace that holds least for
-    /// its share, then by arrival.
+    /// Returns the request to let in next among those that may enter: by aged
+    /// priority, then the workspace that holds least for its share, then by
+    /// arrival.
     pub(super) fn best(
         &self,
-        is_over: impl Fn(&Ask) -> bool,
+        may_enter: impl Fn(&Ask) -> bool,
         share_ratio: impl Fn(&Ask) -> f64,
         now: Millis,
     ) -> Option<Ask> {
         let better = |a: &&Waiter, b: &&Waiter| {
-            is_over(&a.ask)
-                .cmp(&is_over(&b.ask))
-                .then(b.level(now).cmp(&a.level(now)))
+            b.level(now)
+                .cmp(&a.level(now))
                 .then(share_ratio(&a.ask).total_cmp(&share_ratio(&b.ask)))
                 .then(a.since.cmp(&b.since))
         };
-        self.queue.iter().min_by(better).map(|it| it.ask)
+        self.queue.iter().filter(|it| may_enter(&it.ask)).min_by(better).map(|it| it.ask)
     }
 
     /// Removes the least urgent request if it is less urgent than `ask`.
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -1,9 +1,9 @@
 //! Requests that crash endpoints, stopped after a small number of crashes.
 //!
 //! When an endpoint dies, every request open on it is a suspect. A request that
-//! was open at [`CRASH_LIMIT`] distinct deaths is refused fleet-wide. Suspects
-//! run one at a time per endpoint, so that an innocent request is not open at
-//! the death that a guilty one causes next.
+//! was open at [`CRASH_LIMIT`] distinct deaths is refused fleet-wide. An engine
+//! runs one suspect at a time, so that an innocent one is not open at the death
+//! that a guilty one causes next, and all copies of a suspect go to one engine.
 
 use std::collections::HashMap;
 
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -17,6 +17,8 @@
         priority,
         queue_ms: 10_000,
         hold_ms: 60_000,
+        fingerprint: u64::from(serial),
+        suspect: false,
         seen_mean: 0.0,
     }
 }
@@ -29,7 +31,7 @@
 fn fill(gate: &mut Gate, workspace: u32, count: u32) {
     for serial in 0..count {
         let ask = ask(1_000 * workspace + serial, workspace, 5);
-        assert_eq!(decide(gate, ask, &LIMITS), Verdict::Granted);
+        assert!(decide(gate, ask, &LIMITS).is_granted());
     }
 }
 
@@ -40,7 +42,7 @@
             let limits = Limits { slots: 100, others_load: $others, engines: $engines, ..LIMITS };
             let mut gate = Gate::default();
             let admitted = (0..100)
-                .filter(|&serial| decide(&mut gate, Ask { queue_ms: 0, ..ask(serial, 1, 5) }, &limits) == Verdict::Granted)
+                .filter(|&serial| decide(&mut gate, Ask { queue_ms: 0, ..ask(serial, 1, 5) }, &limits) .is_granted())
                 .count();
             assert_eq!(admitted, $admitted);
         }
@@ -65,7 +67,7 @@
             let others_load = others.map(|(_, gate)| gate.load()).sum();
             let limits = Limits { slots: 1_000, others_load, engines: 9, ..LIMITS };
             let ask = Ask { queue_ms: 0, ..ask(serial, serial % 10, 5) };
-            decide(&mut gates[at], ask, &limits) == Verdict::Granted
+            decide(&mut gates[at], ask, &limits).is_granted()
         });
         assert!(placed, "ask {serial} found every engine full");
         let total: u32 = gates.iter().map(Gate::load).sum();
@@ -78,8 +80,8 @@
 #[test]
 fn repeated_ask_is_answered_alike() {
     let mut gate = Gate::default();
-    assert_eq!(decide(&mut gate, ask(1, 1, 5), &LIMITS), Verdict::Granted);
-    assert_eq!(decide(&mut gate, ask(1, 1, 5), &LIMITS), Verdict::Granted);
+    assert!(decide(&mut gate, ask(1, 1, 5), &LIMITS).is_granted());
+    assert!(decide(&mut gate, ask(1, 1, 5), &LIMITS).is_granted());
     assert_eq!(gate.load(), 1);
 }
 
@@ -90,7 +92,7 @@
     assert_eq!(decide(&mut gate, ask(1, 1, 5), &LIMITS), Verdict::Queued);
     gate.release(AskId { router: 1, serial: 1_000 }, Millis(10));
     let verdicts = gate.settle(&LIMITS, Millis(10));
-    assert_eq!(verdicts, [(AskId { router: 1, serial: 1 }, Verdict::Granted)]);
+    assert_eq!(verdicts, [(AskId { router: 1, serial: 1 }, Verdict::Granted { load: 8 })]);
 }
 
 #[test]
@@ -138,13 +140,13 @@
 #[test]
 fn surging_workspace_leaves_room_for_the_others() {
     let mut gate = Gate::default();
-    assert_eq!(decide(&mut gate, ask(0, 2, 5), &LIMITS), Verdict::Granted);
+    assert!(decide(&mut gate, ask(0, 2, 5), &LIMITS).is_granted());
     let surge = (1..100).filter(|&it| {
-        decide(&mut gate, Ask { queue_ms: 0, ..ask(it, 1, 5) }, &LIMITS) == Verdict::Granted
+        decide(&mut gate, Ask { queue_ms: 0, ..ask(it, 1, 5) }, &LIMITS).is_granted()
     });
     assert_eq!(surge.count(), 5);
-    assert_eq!(decide(&mut gate, ask(200, 2, 5), &LIMITS), Verdict::Granted);
-    assert_eq!(decide(&mut gate, ask(201, 3, 5), &LIMITS), Verdict::Granted);
+    assert!(decide(&mut gate, ask(200, 2, 5), &LIMITS).is_granted());
+    assert!(decide(&mut gate, ask(201, 3, 5), &LIMITS).is_granted());
 }
 
 #[test]
@@ -161,7 +163,7 @@
         if round >= 8 {
             gate.release(AskId { router: 1, serial: 2_000 + round - 8 }, now);
         }
-        if gate.settle(&LIMITS, now).contains(&(patient.id, Verdict::Granted)) {
+        if gate.settle(&LIMITS, now).contains(&(patient.id, Verdict::Granted { load: 8 })) {
             return;
         }
     }
@@ -187,3 +189,36 @@
     gate.forget_router(1);
     assert_eq!((gate.load(), gate.queued()), (0, 0));
 }
+
+#[test]
+fn one_suspect_at_a_time_and_others_pass_it() {
+    let mut gate = Gate::default();
+    let suspect = |serial| Ask { suspect: true, ..ask(serial, 1, 9) };
+    assert!(decide(&mut gate, suspect(1), &LIMITS).is_granted());
+    assert_eq!(decide(&mut gate, suspect(2), &LIMITS), Verdict::Queued);
+    assert!(decide(&mut gate, ask(3, 1, 0), &LIMITS).is_granted());
+    gate.release(suspect(1).id, Millis(1));
+    assert_eq!(gate.settle(&LIMITS, Millis(1)), [(suspect(2).id, Verdict::Granted { load: 2 })]);
+}
+
+#[test]
+fn copies_of_one_request_run_one_after_another() {
+    let mut gate = Gate::default();
+    let copy = |serial| Ask { fingerprint: 7, ..ask(serial, 1, 5) };
+    assert!(decide(&mut gate, copy(1), &LIMITS).is_granted());
+    assert_eq!(decide(&mut gate, Ask { queue_ms: 0, ..copy(2) }, &LIMITS), Verdict::Duplicate);
+    assert_eq!(decide(&mut gate, copy(2), &LIMITS), Verdict::Queued);
+    gate.release(copy(1).id, Millis(1));
+    assert_eq!(gate.settle(&LIMITS, Millis(1)), [(copy(2).id, Verdict::Granted { load: 1 })]);
+}
+
+#[test]
+fn mean_that_a_router_has_seen_lets_a_burst_in() {
+    let limits = Limits { others_load: 0, engines: 3, ..LIMITS };
+    let mut gate = Gate::default();
+    assert!(decide(&mut gate, ask(1, 1, 5), &limits).is_granted());
+    assert_eq!(decide(&mut gate, ask(2, 1, 5), &limits), Verdict::Queued);
+    assert!(decide(&mut gate, Ask { seen_mean: 3.0, ..ask(3, 1, 5) }, &limits).is_granted());
+    // What one router has seen counts for all that wait.
+    assert_eq!(gate.settle(&limits, Millis(0)), [(ask(2, 1, 5).id, Verdict::Granted { load: 3 })]);
+}
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -58,6 +58,8 @@
     Granted(Admission),
     /// The engine is at its bound and carries this load.
     Full(u32),
+    /// A copy of the request runs on the engine.
+    Duplicate,
     /// The request is turned away; come back after this many milliseconds.
     Refused(u32),
 }
@@ -74,8 +76,15 @@
         let home = node.cores.borrow().members.admission_home(engine.0, node.now());
         pass.home = Some(home);
         match ask_home(node, home, engine, &ask, &mut answers).await {
-            Some(Verdict::Granted) => return Admitted::Granted(pass),
-            Some(Verdict::Full { load }) => return Admitted::Full(load),
+            Some(Verdict::Granted { load }) => {
+                note_load(node, engine, load);
+                return Admitted::Granted(pass);
+            }
+            Some(Verdict::Full { load }) => {
+                note_load(node, engine, load);
+                return Admitted::Full(load);
+            }
+            Some(Verdict::Duplicate) => return Admitted::Duplicate,
             Some(Verdict::Refused { retry_ms }) => return Admitted::Refused(retry_ms),
             Some(Verdict::Queued) if node.now() < deadline => {}
             Some(Verdict::Queued) => return Admitted::Refused(QUEUE_REPEAT.as_millis() as u32),
@@ -87,6 +96,23 @@
     }
 }
 
+/// Takes in a load at first hand, which is newer than what gossip tells.
+fn note_load(node: &Node, engine: EndpointId, load: u32) {
+    let cores = &mut *node.cores.borrow_mut();
+    if let Some(endpoint) = cores.endpoints.get_mut(engine) {
+        endpoint.admitted = load;
+    }
+}
+
+/// Returns the mean load of the engines that serve `model` in the region.
+pub(crate) fn pool_mean(node: &Node, model: u32) -> f64 {
+    let cores = node.cores.borrow();
+    let region = &node.settings.region;
+    let pool = cores.endpoints.live_engines(model).filter(|(_, it)| it.info.region == *region);
+    let (count, total) = pool.fold((0u32, 0u32), |(n, sum), (_, it)| (n + 1, sum + it.admitted));
+    f64::from(total + 1) / f64::from(count.max(1))
+}
+
 /// Asks one home until it decides, a queue wait ends, or it proves silent.
 async fn ask_home(
     node: &Rc<Node>,
@@ -121,16 +147,18 @@
 /// Decides on an ask as the engine's admission home.
 pub(crate) fn decide(node: &Node, engine: EndpointId, ask: Ask) -> Verdict {
     let now = node.now();
-    let mut evicted = Vec::new();
+    let mut told = Vec::new();
     let verdict = {
         let cores = &mut *node.cores.borrow_mut();
         let limits = limits(cores, engine);
         let gate = open_gate(cores, engine, now);
-        let verdict = gate.ask(ask, &limits, now, &mut evicted);
+        let verdict = gate.ask(ask, &limits, now, &mut told);
+        // The ask may have brought news that lets others in.
+        told.extend(gate.settle(&limits, now));
         update_admitted(cores, engine, now);
         verdict
     };
-    tell(node, engine, evicted);
+    tell(node, engine, told);
     verdict
 }
 
@@ -196,7 +224,7 @@
 fn tell(node: &Node, engine: EndpointId, verdicts: Vec<(AskId, Verdict)>) {
     for (id, verdict) in verdicts {
         if id.router == node.own.id {
-            if !node.verdicts.deliver(&id, verdict) && verdict == Verdict::Granted {
+            if !node.verdicts.deliver(&id, verdict) && verdict.is_granted() {
                 release(node, engine, id);
             }
             continue;
--- a/crates/router/src/deaths.rs
+++ b/crates/router/src/deaths.rs
@@ -68,6 +68,8 @@
     }
     let blame = Blame { death, fingerprints };
     if note(node, &blame) {
+        // Once more for datagrams that are lost; repeats do no harm.
+        peer::broadcast(node, &Message::Blame(blame.clone()));
         peer::broadcast(node, &Message::Blame(blame));
     }
 }
--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -16,14 +16,14 @@
 use mimosaledge_platform::{
     Category,
     http::Call,
-    pool::{Connection, PoolError},
+    pool::Connection,
     server::{Aborted, ReplyBody, channel_body},
 };
 use spdlog::{info, warn};
 use tokio::{sync::mpsc::Sender, time};
 
 use crate::{
-    admission::{Admission, Admitted, admit},
+    admission::{Admission, Admitted, admit, pool_mean},
     answer::{Refusal, set_header},
     deaths::{self, OpenGuard},
     front::OpenRequest,
@@ -52,6 +52,17 @@
     retry_ms: Option<u32>,
 }
 
+impl NotStarted {
+    /// Notes that an engine refused the request; that does not undo an earlier
+    /// engine that may have run it.
+    fn after_refusal(self) -> NotStarted {
+        match self.code {
+            Code::AnswerBroken => self,
+            _ => Code::EndpointRefused.into(),
+        }
+    }
+}
+
 impl From<Code> for NotStarted {
     fn from(code: Code) -> NotStarted {
         NotStarted { code, retry_ms: None }
@@ -180,11 +191,6 @@
             return Err(Code::AnswerBroken);
         }
         node.metrics.retries.inc();
-        match node.cores.borrow().quarantine.judge(ask.fingerprint, node.now()) {
-            Standing::Clean => {}
-            Standing::Suspect => {}
-            Standing::Refused(_) => return Err(Code::Quarantined),
-        }
         if died {
             time::sleep(SUSPECT_PAUSE).await;
         }
@@ -204,49 +210,66 @@
 }
 
 /// Starts a request on the first engine that lets it in.
+///
+/// `failed` is the engine that broke the request's answer at piece `from`.
 async fn start(
     node: &Rc<Node>,
     ask: &Rc<Ask>,
     from: u32,
     failed: Option<EndpointId>,
 ) -> Result<Run, NotStarted> {
-    let (mut ranked, uses_gates) = rank(node, ask);
-    // An engine that just failed the request is the last resort.
-    if let Some(failed) = failed
-        && ranked.len() > 1
-    {
-        ranked.retain(|it| *it != failed);
-    }
+    let mut tried: Vec<EndpointId> = failed.into_iter().collect();
     let mut last = NotStarted::from(Code::NoEndpoint);
-    while !ranked.is_empty() {
+    loop {
+        let is_suspect = check_standing(node, ask)?;
+        let (mut ranked, uses_gates) = rank(node, ask, is_suspect);
+        retain_untried(&mut ranked, &tried, failed);
+        if ranked.is_empty() {
+            return Err(last);
+        }
         let Placed { engine, admission, reason } = if uses_gates {
-            place(node, ask, &ranked).await?
+            place(node, ask, &ranked, is_suspect).await?
         } else {
             Placed { engine: ranked[0], admission: None, reason: Reason::Ranked(0) }
         };
+        // The wait for admission may have brought news of a death.
+        check_standing(node, ask)?;
         log_route(node, ask, engine, &reason);
         match open(node, ask, engine, admission, from).await {
             Ok(run) => return Ok(run),
-            Err(OpenError::NotRun) => last = Code::EndpointRefused.into(),
-            Err(OpenError::Broken) => {
-                let died = check_alive(node, engine, incarnation(node, engine)).await;
-                if !may_retry(node, ask) {
-                    return Err(Code::AnswerBroken.into());
-                }
+            Err(OpenError::NotRun) => last = last.after_refusal(),
+            Err(OpenError::Broken { .. }) if !may_retry(node, ask) => {
+                return Err(Code::AnswerBroken.into());
+            }
+            Err(OpenError::Broken { died }) => {
+                last = Code::AnswerBroken.into();
                 if died {
                     time::sleep(SUSPECT_PAUSE).await;
                 }
-                if let Standing::Refused(wait) = judge(node, ask) {
-                    return Err(NotStarted {
-                        code: Code::Quarantined,
-                        retry_ms: Some(wait as u32),
-                    });
-                }
             }
         }
-        ranked.retain(|it| *it != engine);
+        tried.push(engine);
+    }
+}
+
+/// Removes the engines that were tried; the one that failed first is tried
+/// again if no other is left.
+fn retain_untried(ranked: &mut Vec<EndpointId>, tried: &[EndpointId], failed: Option<EndpointId>) {
+    let only_failed = tried.len() <= 1 && failed.is_some() && ranked.len() == 1;
+    if !only_failed {
+        ranked.retain(|it| !tried.contains(it));
+    }
+}
+
+/// Refuses a request that is quarantined; returns whether it is a suspect.
+fn check_standing(node: &Node, ask: &Ask) -> Result<bool, NotStarted> {
+    match node.cores.borrow().quarantine.judge(ask.fingerprint, node.now()) {
+        Standing::Clean => Ok(false),
+        Standing::Suspect => Ok(true),
+        Standing::Refused(wait) => {
+            Err(NotStarted { code: Code::Quarantined, retry_ms: Some(wait as u32) })
+        }
     }
-    Err(last)
 }
 
 fn may_retry(node: &Node, ask: &Ask) -> bool {
@@ -257,17 +280,12 @@
     allowed
 }
 
-fn judge(node: &Node, ask: &Ask) -> Standing {
-    node.cores.borrow().quarantine.judge(ask.fingerprint, node.now())
-}
-
 fn incarnation(node: &Node, engine: EndpointId) -> u32 {
     node.cores.borrow().endpoints.get(engine).map_or(0, |it| it.report.incarnation)
 }
 
 /// Ranks the live engines of the region for a request.
-fn rank(node: &Node, ask: &Ask) -> (Vec<EndpointId>, bool) {
-    let standing = judge(node, ask);
+fn rank(node: &Node, ask: &Ask, is_suspect: bool) -> (Vec<EndpointId>, bool) {
     let cores = &mut *node.cores.borrow_mut();
     let engines: Vec<EngineView> = cores
         .endpoints
@@ -280,12 +298,17 @@
             admitted: it.admitted,
         })
         .collect();
-    let chat = match standing {
-        // All copies of a suspect go to one engine, so that they cost but one.
-        Standing::Suspect => ChatView { key: ask.fingerprint, hint: None },
-        _ => ChatView { key: ask.chat_key(), hint: ask.hint },
+    let chat = if is_suspect {
+        ChatView { key: ask.fingerprint, hint: None }
+    } else {
+        ChatView { key: ask.chat_key(), hint: ask.hint }
     };
-    (cores.policy.rank(&chat, &engines), cores.policy.uses_gates())
+    let mut ranked = cores.policy.rank(&chat, &engines);
+    if is_suspect {
+        // All copies of a suspect go to one engine, so that they cost but one.
+        ranked.truncate(1);
+    }
+    (ranked, cores.policy.uses_gates())
 }
 
 /// Why an engine was chosen.
@@ -313,35 +336,41 @@
 }
 
 /// Finds an engine with room, or queues at the least loaded of those asked.
-async fn place(node: &Rc<Node>, ask: &Ask, ranked: &[EndpointId]) -> Result<Placed, NotStarted> {
-    let mut loads = Vec::new();
-    let mut retry_ms = None;
+async fn place(
+    node: &Rc<Node>,
+    ask: &Ask,
+    ranked: &[EndpointId],
+    is_suspect: bool,
+) -> Result<Placed, NotStarted> {
+    let mut full: Option<(u32, EndpointId)> = None;
     for (at, &engine) in ranked.iter().take(MAX_ASKED).enumerate() {
-        match admit(node, engine, gate_ask(node, ask, 0, 0.0)).await {
+        match admit(node, engine, gate_ask(node, ask, is_suspect, 0)).await {
             Admitted::Granted(admission) => {
                 let admission = Some(admission);
                 return Ok(Placed { engine, admission, reason: Reason::Ranked(at) });
             }
-            Admitted::Full(load) => loads.push((load, engine)),
-            Admitted::Refused(ms) => retry_ms = Some(ms),
+            Admitted::Full(load) if full.is_none_or(|(least, _)| load < least) => {
+                full = Some((load, engine));
+            }
+            Admitted::Full(_) | Admitted::Refused(_) => {}
+            Admitted::Duplicate => {
+                full = Some((0, engine));
+                break;
+            }
         }
     }
-    let Some(&(_, engine)) = loads.iter().min_by_key(|(load, _)| *load) else {
-        return Err(NotStarted { code: Code::Overloaded, retry_ms });
-    };
-    let total: u32 = loads.iter().map(|(load, _)| load).sum();
-    let mean = f64::from(total + 1) / loads.len() as f64;
+    let Some((_, engine)) = full else { return Err(Code::Overloaded.into()) };
     let queue_ms = ask.class.queue_ms.min(ask.time_left(node.now()));
-    match admit(node, engine, gate_ask(node, ask, queue_ms, mean)).await {
+    match admit(node, engine, gate_ask(node, ask, is_suspect, queue_ms)).await {
         Admitted::Granted(admission) => {
             Ok(Placed { engine, admission: Some(admission), reason: Reason::LeastLoaded })
         }
-        Admitted::Full(_) => Err(Code::Overloaded.into()),
+        Admitted::Full(_) | Admitted::Duplicate => Err(Code::Overloaded.into()),
         Admitted::Refused(ms) => Err(NotStarted { code: Code::Overloaded, retry_ms: Some(ms) }),
     }
 }
 
-fn gate_ask(node: &Node, ask: &Ask, queue_ms: u64, seen_mean: f64) -> gate::Ask {
+fn gate_ask(node: &Node, ask: &Ask, suspect: bool, queue_ms: u64) -> gate::Ask {
     gate::Ask {
         id: AskId::default(),
         workspace: ask.workspace_hash(),
@@ -349,7 +378,9 @@
         priority: ask.class.priority,
         queue_ms: queue_ms as u32,
         hold_ms: ask.time_left(node.now()) as u32,
-        seen_mean: seen_mean as f32,
+        fingerprint: ask.fingerprint,
+        suspect,
+        seen_mean: pool_mean(node, hash32(ask.model.as_bytes())) as f32,
     }
 }
 
@@ -368,7 +399,10 @@
     /// The engine did not run the request.
     NotRun,
     /// The engine may have begun the request.
-    Broken,
+    Broken {
+        /// Whether the engine's process has died.
+        died: bool,
+    },
 }
 
 async fn open(
@@ -383,7 +417,6 @@
     else {
         return Err(OpenError::NotRun);
     };
-    let open = node.open_work.open(engine, ask.fingerprint);
     // A resumed request must not meet the connection that has just failed.
     let connection =
         if from == 0 { node.upstream.reuse(addr).await } else { node.upstream.connect(addr).await };
@@ -391,6 +424,8 @@
         note_refused(node, engine);
         return Err(OpenError::NotRun);
     };
+    // Only what was sent to an engine is blamed for its death.
+    let open = node.open_work.open(engine, ask.fingerprint);
     let request = Request::post("/generate")
         .header(HOST, addr.to_string())
         .header("x-request-id", &*ask.run_id)
@@ -399,22 +434,26 @@
         .body(Full::new(ask.body.clone()))
         .map_err(|_| OpenError::NotRun)?;
     let progress = preset(&ask.active).progress_ms.min(ask.time_left(node.now()));
-    let response = match connection.send(request, Duration::from_millis(progress)).await {
-        Ok(response) => response,
-        Err(PoolError::NotConnected) => return Err(OpenError::NotRun),
-        Err(PoolError::Broken) => return Err(OpenError::Broken),
+    let sent = connection.send(request, Duration::from_millis(progress)).await;
+    let response = match sent {
+        Ok(response) if response.headers().contains_key("x-not-run") => {
+            return Err(OpenError::NotRun);
+        }
+        Ok(response) if is_own(&response, &ask.run_id) => response,
+        _ => {
+            let died = check_alive(node, engine, incarnation).await;
+            drop(open);
+            return Err(OpenError::Broken { died });
+        }
     };
-    check_head(&response, &ask.run_id)?;
     let relay = Relay::new(response.into_body(), ask.run_id.clone(), from);
     Ok(Run { engine, incarnation, relay, connection, _admission: admission, _open: open })
 }
 
-fn check_head(response: &Response<Incoming>, run_id: &str) -> Result<(), OpenError> {
-    if response.headers().contains_key("x-not-run") {
-        return Err(OpenError::NotRun);
-    }
+/// Returns whether an answer is a success of the request itself.
+fn is_own(response: &Response<Incoming>, run_id: &str) -> bool {
     let echoed = response.headers().get("x-request-id").is_some_and(|it| it == run_id);
-    if response.status() == 200 && echoed { Ok(()) } else { Err(OpenError::Broken) }
+    response.status() == 200 && echoed
 }
 
 fn note_refused(node: &Rc<Node>, engine: EndpointId) {
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -112,7 +112,7 @@
 
 fn take_verdict(node: &Node, engine: EndpointId, id: AskId, verdict: Verdict, from: SocketAddr) {
     let awaited = node.verdicts.deliver(&id, verdict);
-    if !awaited && verdict == Verdict::Granted {
+    if !awaited && verdict.is_granted() {
         // The request was given up; its grant must not linger.
         send(node, from, &Message::Release { engine, id });
     }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -40,11 +40,11 @@
 /// Guard against a call that never ends.
 const CALL_LIMIT: Duration = Duration::from_secs(20);
 
-pub const CONFIG: &str = include_str!("config.yaml");
-pub const MODEL: &str = "m";
+pub(crate) const CONFIG: &str = include_str!("config.yaml");
+pub(crate) const MODEL: &str = "m";
 
 /// Runs a test on one thread.
-pub fn run<F: Future<Output = ()>>(test: F) {
+pub(crate) fn run<F: Future<Output = ()>>(test: F) {
     spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, test);
@@ -52,45 +52,50 @@
 
 /// A member of the fleet whose task can be aborted, which ends it as a crash
 /// would.
-pub struct Member {
-    pub name: String,
-    pub addr: SocketAddr,
+pub(crate) struct Member {
+    pub(crate) name: String,
+    pub(crate) addr: SocketAddr,
     task: JoinHandle<()>,
 }
 
 impl Member {
+    /// Returns whether the member has ended, as by a crash.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.task.is_finished()
+    }
+
     /// Ends the member at once and waits until its sockets are closed.
-    pub async fn kill(&mut self) {
+    pub(crate) async fn kill(&mut self) {
         self.task.abort();
         let _ = (&mut self.task).await;
     }
 }
 
 /// A running router.
-pub struct Router {
-    pub member: Member,
-    pub ops: SocketAddr,
-    pub peer: SocketAddr,
-    pub settings: Settings,
-    pub stop: StopHandle,
+pub(crate) struct Router {
+    pub(crate) member: Member,
+    pub(crate) ops: SocketAddr,
+    pub(crate) peer: SocketAddr,
+    pub(crate) settings: Settings,
+    pub(crate) stop: StopHandle,
 }
 
 /// A fleet with its stand-ins.
-pub struct Fleet {
-    pub platform: Member,
-    pub engines: Vec<Member>,
-    pub services: Vec<Member>,
-    pub routers: Vec<Router>,
+pub(crate) struct Fleet {
+    pub(crate) platform: Member,
+    pub(crate) engines: Vec<Member>,
+    pub(crate) services: Vec<Member>,
+    pub(crate) routers: Vec<Router>,
     pool: Pool,
     incarnation: RefCell<u32>,
 }
 
 /// The size of a fleet and the settings that a test changes.
-pub struct Plan {
-    pub routers: usize,
-    pub engines: usize,
-    pub services: usize,
-    pub limits: &'static str,
+pub(crate) struct Plan {
+    pub(crate) routers: usize,
+    pub(crate) engines: usize,
+    pub(crate) services: usize,
+    pub(crate) limits: &'static str,
 }
 
 impl Default for Plan {
@@ -101,19 +106,19 @@
 
 /// An answer as a caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Answer {
-    pub status: u16,
-    pub code: u16,
-    pub headers: Vec<(String, String)>,
-    pub body: String,
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) code: u16,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: String,
 }
 
 impl Answer {
-    pub fn header(&self, name: &str) -> Option<&str> {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|it| it.0 == name).map(|it| it.1.as_str())
     }
 
-    pub fn json(&self) -> serde_json::Value {
+    pub(crate) fn json(&self) -> serde_json::Value {
         serde_json::from_str(&self.body).unwrap()
     }
 }
@@ -147,15 +152,15 @@
 impl Fleet {
     /// Starts a fleet, publishes the test configuration and waits until every
     /// router serves and knows every endpoint.
-    pub async fn start(plan: Plan) -> Fleet {
-        let mut fleet = Fleet::start_unconfigured(plan).await;
+    pub(crate) async fn start(plan: Plan) -> Fleet {
+        let fleet = Fleet::start_unconfigured(plan).await;
         fleet.publish(CONFIG).await;
         fleet.settled().await;
         fleet
     }
 
     /// Starts a fleet without a configuration.
-    pub async fn start_unconfigured(plan: Plan) -> Fleet {
+    pub(crate) async fn start_unconfigured(plan: Plan) -> Fleet {
         let (listener, addr) = bind().await;
         let settings = platform::Settings { list_lag_ms: 0, ..platform::Settings::default() };
         let task = tokio::task::spawn_local(platform::run(listener, settings));
@@ -225,7 +230,7 @@
     }
 
     /// Starts a router with `settings`, on fresh ports where those are zero.
-    pub async fn start_router(&mut self, mut settings: Settings) {
+    pub(crate) async fn start_router(&mut self, mut settings: Settings) {
         let (head, peer, peer_addr) = bind_peer().await;
         let (http, http_addr) = bind().await;
         let (ops, ops_addr) = bind().await;
@@ -240,14 +245,14 @@
     }
 
     /// Starts engine `at` again on its old address.
-    pub async fn restart_engine(&mut self, at: usize) {
+    pub(crate) async fn restart_engine(&mut self, at: usize) {
         let (name, addr) = (self.engines[at].name.clone(), self.engines[at].addr);
         let listener = TcpListener::bind(addr).await.unwrap();
         self.engines[at] = self.start_engine(&name, listener, addr);
     }
 
     /// Tells the platform the present list of VMs.
-    pub async fn list_vms(&self) {
+    pub(crate) async fn list_vms(&self) {
         let engines = self.engines.iter().enumerate();
         let services = self.services.iter().enumerate();
         let routers = self.routers.iter().enumerate();
@@ -261,40 +266,40 @@
         self.control_platform(&platform::Control { vms: Some(vms), ..Default::default() }).await;
     }
 
-    pub async fn control_platform(&self, control: &platform::Control) {
+    pub(crate) async fn control_platform(&self, control: &platform::Control) {
         post(self.platform.addr, "/control", serde_json::to_vec(control).unwrap()).await;
     }
 
-    pub async fn control_engine(&self, at: usize, control: &engine::Control) {
+    pub(crate) async fn control_engine(&self, at: usize, control: &engine::Control) {
         post(self.engines[at].addr, "/control", serde_json::to_vec(control).unwrap()).await;
     }
 
-    pub async fn control_services(&self, control: &service::Control) {
+    pub(crate) async fn control_services(&self, control: &service::Control) {
         for service in &self.services {
             post(service.addr, "/control", serde_json::to_vec(control).unwrap()).await;
         }
     }
 
     /// Appends a record to the configuration stream.
-    pub async fn append(&self, record: &Record) -> bool {
+    pub(crate) async fn append(&self, record: &Record) -> bool {
         let call = Call::post(self.platform.addr, "/log/config", record.to_json());
         call.timeout(Duration::from_millis(300)).send_ok().await.is_ok()
     }
 
     /// Publishes a first configuration.
-    pub async fn publish(&self, text: &str) {
+    pub(crate) async fn publish(&self, text: &str) {
         let change = Change::Publish { parent: None, text: text.into() };
         assert!(self.append(&Record { id: "first".to_owned(), change }).await);
     }
 
     /// Switches the preset on top of the head at `parent`.
-    pub async fn switch(&self, parent: u64, preset: PresetName) {
+    pub(crate) async fn switch(&self, parent: u64, preset: PresetName) {
         let change = Change::Switch { parent, preset };
         assert!(self.append(&Record { id: format!("switch-{parent}"), change }).await);
     }
 
     /// Waits until every router serves and sees every member up.
-    pub async fn settled(&self) {
+    pub(crate) async fn settled(&self) {
         let endpoints = self.engines.len() + self.services.len();
         for router in &self.routers {
             let routers = self.routers.len();
@@ -307,7 +312,7 @@
     }
 
     /// Waits until a router's status meets a condition.
-    pub async fn until(&self, ops: SocketAddr, condition: impl Fn(&Status) -> bool) {
+    pub(crate) async fn until(&self, ops: SocketAddr, condition: impl Fn(&Status) -> bool) {
         let mut last = None;
         for _ in 0..POLLS {
             last = status(ops).await;
@@ -320,14 +325,14 @@
     }
 
     /// Asks router `at` for a key prefix.
-    pub async fn prefix(&self, at: usize) -> String {
+    pub(crate) async fn prefix(&self, at: usize) -> String {
         let located: serde_json::Value =
             get(self.routers[at].member.addr, "/locate?workspace=w1&chat=c").await;
         located["key_prefix"].as_str().unwrap().to_owned()
     }
 
     /// Sends a request with `headers` to router `at`.
-    pub async fn send(
+    pub(crate) async fn send(
         &self,
         at: usize,
         headers: &[(&str, &str)],
@@ -337,7 +342,7 @@
     }
 
     /// Books with `key` through router `at`.
-    pub async fn book(&self, at: usize, key: &str) -> Result<Answer, PoolError> {
+    pub(crate) async fn book(&self, at: usize, key: &str) -> Result<Answer, PoolError> {
         let headers = [
             ("x-workspace", "w1"),
             ("x-class", "booking"),
@@ -348,14 +353,19 @@
     }
 
     /// Asks for `output` tokens for a chat through router `at`.
-    pub async fn chat(&self, at: usize, chat: &str, output: u32) -> Result<Answer, PoolError> {
+    pub(crate) async fn chat(
+        &self,
+        at: usize,
+        chat: &str,
+        output: u32,
+    ) -> Result<Answer, PoolError> {
         let headers =
             [("x-workspace", "w1"), ("x-class", "chat"), ("x-request-id", "q"), ("x-chat", chat)];
         self.send(at, &headers, chat_body(chat, output)).await
     }
 
     /// Returns how often `key` ran, over all services.
-    pub async fn runs(&self, key: &str) -> u32 {
+    pub(crate) async fn runs(&self, key: &str) -> u32 {
         let mut total = 0;
         for at in 0..self.services.len() {
             total += self.runs_at(at, key).await;
@@ -364,20 +374,40 @@
     }
 
     /// Returns how often `key` ran at service `at`.
-    pub async fn runs_at(&self, at: usize, key: &str) -> u32 {
+    pub(crate) async fn runs_at(&self, at: usize, key: &str) -> u32 {
         let runs: service::Runs = get(self.services[at].addr, "/runs").await;
         runs.runs.get(key).copied().unwrap_or(0)
     }
 }
 
+/// Runs all futures at once and returns their results in order.
+pub(crate) async fn join_all<F: Future>(futures: impl Iterator<Item = F>) -> Vec<F::Output> {
+    let mut pending: Vec<_> = futures.map(|it| (Box::pin(it), None)).collect();
+    std::future::poll_fn(|cx| {
+        for (future, result) in &mut pending {
+            if result.is_none()
+                && let std::task::Poll::Ready(value) = future.as_mut().poll(cx)
+            {
+                *result = Some(value);
+            }
+        }
+        match pending.iter().all(|it| it.1.is_some()) {
+            true => std::task::Poll::Ready(()),
+            false => std::task::Poll::Pending,
+        }
+    })
+    .await;
+    pending.into_iter().filter_map(|it| it.1).collect()
+}
+
 /// Makes the body of a chat request.
-pub fn chat_body(chat: &str, output: u32) -> String {
+pub(crate) fn chat_body(chat: &str, output: u32) -> String {
     let segment = engine::output_segment(chat);
     format!("{{\"model\":\"{MODEL}\",\"segments\":[[{segment},20]],\"output\":{output}}}")
 }
 
 /// Returns whether `answer` is a whole stream of `output` tokens.
-pub fn is_whole(answer: &Answer, output: u32) -> bool {
+pub(crate) fn is_whole(answer: &Answer, output: u32) -> bool {
     let run_id = answer.header("x-run-id").unwrap_or_default();
     let frames: Vec<engine::Frame> =
         answer.body.lines().filter_map(|it| serde_json::from_str(it).ok()).collect();
@@ -386,7 +416,7 @@
     ordered && frames.len() as u32 == output + 1 && sum == Some(engine::checksum(run_id, output))
 }
 
-pub async fn send(
+pub(crate) async fn send(
     pool: &Pool,
     addr: SocketAddr,
     headers: &[(&str, &str)],
@@ -413,16 +443,16 @@
     Call::post(addr, path, body).send_ok().await.unwrap();
 }
 
-pub async fn get<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> T {
+pub(crate) async fn get<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> T {
     let body = Call::get(addr, path).send_ok().await.unwrap();
     serde_json::from_slice(&body).unwrap()
 }
 
-pub async fn status(ops: SocketAddr) -> Option<Status> {
+pub(crate) async fn status(ops: SocketAddr) -> Option<Status> {
     let body = Call::get(ops, "/status").send_ok().await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
-pub async fn fold(ops: SocketAddr) -> Fold {
+pub(crate) async fn fold(ops: SocketAddr) -> Fold {
     get(ops, "/head").await
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -223,26 +223,16 @@
         Ok(generate) => generate,
         Err(err) => return reply(400, err.to_string()),
     };
-    let mut state = state.borrow_mut();
-    if state.crash_on.as_ref().is_some_and(|marker| contains(&body, marker.as_bytes())) {
-        state.crash.notify_one();
-        return reply(500, "crashing");
-    }
-    if state.orders.loading || *state.orders.model != generate.model {
-        return not_run("model is not loaded");
-    }
-    let fault = if state.faults.is_empty() { Fault::None } else { state.faults.remove(0) };
-    match fault {
-        Fault::Refuse => return not_run("refused"),
-        Fault::Mute => {
-            drop(state);
-            return std::future::pending().await;
-        }
-        _ => {}
-    }
+    let fault = match accept(&state, &body, &generate) {
+        Ok(Fault::Mute) => return std::future::pending().await,
+        Ok(fault) => fault,
+        Err(Refusal::Crashing) => return reply(500, "crashing"),
+        Err(Refusal::NotRun(reason)) => return not_run(reason),
+    };
     let (sender, body) = channel_body(STREAM_DEPTH);
-    state.batch.submit(Sequence::new(id.clone(), generate, priority, resume_from, fault, sender));
-    state.wake.notify_one();
+    let sequence = Sequence::new(id.clone(), generate, priority, resume_from, fault, sender);
+    state.borrow_mut().batch.submit(sequence);
+    state.borrow().wake.notify_one();
     let mut response = Response::new(body);
     if let Ok(value) = id.parse() {
         response.headers_mut().insert("x-request-id", value);
@@ -250,6 +240,26 @@
     response
 }
 
+/// Why a request is not run.
+enum Refusal {
+    Crashing,
+    NotRun(&'static str),
+}
+
+/// Decides whether to run a request, and with which fault.
+fn accept(state: &Shared, body: &[u8], generate: &Generate) -> Result<Fault, Refusal> {
+    let mut state = state.borrow_mut();
+    if state.crash_on.as_ref().is_some_and(|marker| contains(body, marker.as_bytes())) {
+        state.crash.notify_one();
+        return Err(Refusal::Crashing);
+    }
+    if state.orders.loading || *state.orders.model != generate.model {
+        return Err(Refusal::NotRun("model is not loaded"));
+    }
+    let fault = if state.faults.is_empty() { Fault::None } else { state.faults.remove(0) };
+    if fault == Fault::Refuse { Err(Refusal::NotRun("refused")) } else { Ok(fault) }
+}
+
 fn not_run(reason: &'static str) -> Response<ReplyBody> {
     let mut response = reply(503, reason);
     response.headers_mut().insert("x-not-run", hyper::header::HeaderValue::from_static("1"));
