Survive restarts of routers while the platform is away

- A router that restarted while the platform was frozen had the head from a peer but no endpoints.
A transfer now carries both.
- A killed router's grants stayed at the engines' gates until the class's deadline (20 to 30 s), so engines with free slots refused.
Gates now take back what dead runs held; asks carry the router's incarnation, since a restarted router counted its asks from one again.
- A frozen router that woke took every peer for dead, and itself for the admission home of all engines.
Its own pause now excuses their silence.

Ruled out: shorter grants, which would let long answers pass the bound.

--- a/crates/core/src/endpoints/endpoint.rs
+++ b/crates/core/src/endpoints/endpoint.rs
@@ -33,7 +33,7 @@
 }
 
 /// What the VM list says of an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointInfo {
     /// Unique name.
     pub name: Name,
--- a/crates/core/src/endpoints/table.rs
+++ b/crates/core/src/endpoints/table.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Returns whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
     /// Returns an endpoint.
     pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
         self.table.get(&id)
--- a/crates/core/src/gate/ask.rs
+++ b/crates/core/src/gate/ask.rs
@@ -1,13 +1,15 @@
 use serde::{Deserialize, Serialize};
 
+use crate::members::RouterRef;
+
 /// Identity of one request for admission.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct AskId {
-    /// The router that asks.
-    pub router: u32,
-    /// Counts the asks of that router.
+    /// The run of the router that asks.
+    pub router: RouterRef,
+    /// Counts the asks of that run.
     pub serial: u32,
 }
 
--- a/crates/core/src/gate/gate.rs
+++ b/crates/core/src/gate/gate.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 
 use super::{Ask, AskId, Limits, Verdict, waiters::Waiters};
-use crate::time::Millis;
+use crate::{members::RouterRef, time::Millis};
 
 /// How long a mean load that a router has seen counts, in milliseconds.
 const SEEN_MS: u64 = 100;
@@ -148,11 +148,11 @@
         }
     }
 
-    /// Takes back everything that a dead router held.
-    pub fn forget_router(&mut self, router: u32) {
-        self.waiters.remove_router(router);
+    /// Takes back everything that routers held which are no longer alive.
+    pub fn retain_routers(&mut self, is_alive: impl Fn(RouterRef) -> bool) {
+        self.waiters.retain_routers(&is_alive);
         let lost: Vec<AskId> =
-            self.grants.keys().filter(|id| id.router == router).copied().collect();
+            self.grants.keys().filter(|id| !is_alive(id.router)).copied().collect();
         self.drop_grants(&lost);
     }
 
--- a/crates/core/src/gate/waiters.rs
+++ b/crates/core/src/gate/waiters.rs
@@ -1,5 +1,5 @@
 use super::{Ask, AskId};
-use crate::time::Millis;
+use crate::{members::RouterRef, time::Millis};
 
 /// Wait that raises a request by one priority level, in milliseconds.
 const AGING_MS: u64 = 500;
@@ -44,8 +44,8 @@
         self.queue.retain(|it| it.ask.id != id);
     }
 
-    pub(super) fn remove_router(&mut self, router: u32) {
-        self.queue.retain(|it| it.ask.id.router != router);
+    pub(super) fn retain_routers(&mut self, is_alive: impl Fn(RouterRef) -> bool) {
+        self.queue.retain(|it| is_alive(it.ask.id.router));
     }
 
     /// Removes and returns the requests that waited too long.
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -137,6 +137,24 @@
         self.table.get(&id)
     }
 
+    /// Excuses the silence of all routers for `pause_ms`, during which this
+    /// process itself was paused and could hear nobody.
+    pub fn excuse(&mut self, pause_ms: u64) {
+        for member in self.table.values_mut() {
+            member.heard_at = member.heard_at + pause_ms;
+        }
+    }
+
+    /// Returns whether the run of a router is alive.
+    pub fn is_alive(&self, router: RouterRef, now: Millis) -> bool {
+        let silence = |it: &Member| now.since(it.heard_at);
+        router == self.own
+            || self
+                .table
+                .get(&router.id)
+                .is_some_and(|it| it.heartbeat.router == router && silence(it) < self.dead_after())
+    }
+
     /// Passes over a router that did not answer in time.
     pub fn suspect(&mut self, id: u32, now: Millis) {
         if let Some(member) = self.table.get_mut(&id).filter(|_| id != self.own.id) {
--- a/crates/core/tests/cores.rs
+++ b/crates/core/tests/cores.rs
@@ -53,6 +53,15 @@
     assert_eq!(members.get(1).unwrap().heartbeat.router.incarnation, 2);
 }
 
+#[test]
+fn own_pause_does_not_make_others_dead() {
+    let mut members = fleet(3);
+    members.excuse(10_000);
+    assert_eq!(members.peers(Millis(10_500)).count(), 2);
+    assert!(members.is_alive(RouterRef { id: 1, incarnation: 1 }, Millis(10_500)));
+    assert!(!members.is_alive(RouterRef { id: 1, incarnation: 2 }, Millis(10_500)));
+}
+
 #[test]
 fn suspected_router_is_passed_over_for_a_while() {
     let mut members = fleet(4);
--- a/crates/replay/src/caller.rs
+++ b/crates/replay/src/caller.rs
@@ -131,17 +131,27 @@
             return Some(located.clone());
         }
         let path = format!("/locate?workspace={workspace}&chat={chat}&zone={zone}");
-        let start = key.len() % self.entries.len().max(1);
+        let located = self.ask_entries(&path, key.len()).await?;
+        let until = Instant::now() + Duration::from_millis(located.keep_ms);
+        self.kept.borrow_mut().insert(key, (until, located.clone()));
+        Some(located)
+    }
+
+    /// Asks the known routers in turn; the answer of one that is about to stop
+    /// has no key prefix and is the last resort.
+    async fn ask_entries(&self, path: &str, start: usize) -> Option<Located> {
+        let mut without_prefix = None;
         for n in 0..self.entries.len() {
             let entry = self.entries[(start + n) % self.entries.len()];
-            let call = Call::get(entry, path.clone()).timeout(LOCATE_LIMIT);
+            let call = Call::get(entry, path).timeout(LOCATE_LIMIT);
             let Ok(body) = call.send_ok().await else { continue };
-            let Ok(located) = serde_json::from_slice::<Located>(&body) else { continue };
-            let until = Instant::now() + Duration::from_millis(located.keep_ms);
-            self.kept.borrow_mut().insert(key, (until, located.clone()));
-            return Some(located);
+            match serde_json::from_slice::<Located>(&body) {
+                Ok(located) if located.key_prefix.is_some() => return Some(located),
+                Ok(located) => without_prefix = Some(located),
+                Err(_) => {}
+            }
         }
-        None
+        without_prefix
     }
 
     /// Forgets the kept answer for a chat.
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -119,7 +119,7 @@
     }
 }
 
-/// Asks peers that are ahead for their head, whether or not the log answers.
+/// Asks peers for what they know more, whether or not the platform answers.
 pub(crate) async fn follow_peers(node: Rc<Node>) {
     let mut ticks = ticker(node.settings.limits.follow_ms);
     loop {
@@ -128,30 +128,39 @@
             () = node.changed.notified() => {}
         }
         if let Some(peer) = find_ahead(&node) {
-            take_head_from(&node, peer).await;
+            take_over_from(&node, peer).await;
         }
     }
 }
 
+/// Returns the peer with the newest head if it knows more than this router.
 fn find_ahead(node: &Node) -> Option<SocketAddr> {
     let cores = node.cores.borrow();
     let own = cores.fold.head_offset().map_or(0, |offset| offset + 1);
-    let needs = |head: u64| head > own || (cores.fold.gapped && head >= own && head > 0);
+    let lacks = cores.fold.gapped || cores.endpoints.is_empty();
+    let needs = |head: u64| head > own || (lacks && head >= own && head > 0);
     let ahead = cores.members.peers(node.now()).map(|it| it.heartbeat).filter(|it| needs(it.head));
     ahead.max_by_key(|it| it.head).map(|it| it.peer)
 }
 
-async fn take_head_from(node: &Node, peer: SocketAddr) {
-    match peer::fetch_head(node, peer).await {
-        Ok(fold) => {
-            let before = node.cores.borrow().fold.head_offset();
-            let verdict = node.cores.borrow_mut().fold.adopt(&fold);
-            if verdict == Verdict::Restored && fold.head_offset() != before {
-                info!("follow: took over the head of {peer}");
-                put_in_force(node);
-            }
+async fn take_over_from(node: &Node, peer: SocketAddr) {
+    let transfer = match peer::fetch_transfer(node, peer).await {
+        Ok(transfer) => transfer,
+        Err(err) => {
+            warn!("follow: asking {peer} for what it knows failed: {err}");
+            return;
         }
-        Err(err) => warn!("follow: asking {peer} for its head failed: {err}"),
+    };
+    let before = node.cores.borrow().fold.head_offset();
+    let verdict = node.cores.borrow_mut().fold.adopt(&transfer.fold);
+    if verdict == Verdict::Restored && transfer.fold.head_offset() != before {
+        info!("follow: took over the head of {peer}");
+        put_in_force(node);
+    }
+    let endpoints = &mut node.cores.borrow_mut().endpoints;
+    if endpoints.is_empty() && !transfer.endpoints.is_empty() {
+        info!("follow: took over the endpoints of {peer}");
+        endpoints.follow_list(transfer.endpoints, &HashSet::new());
     }
 }
 
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -14,13 +14,18 @@
     members::Heartbeat,
 };
 use mimosaledge_wire::{Gossip, Message, Statement};
+use spdlog::warn;
 use tokio::time;
 
 use crate::{
+    admission,
     node::{Cores, Node},
     peer,
 };
 
+/// Lateness of a round from which this process counts as paused, in
+/// milliseconds.
+const PAUSED_MS: u64 = 1_000;
 /// Heartbeats in one datagram.
 const MAX_HEARTBEATS: usize = 12;
 /// Endpoint states in one datagram.
@@ -83,8 +88,16 @@
 pub(crate) async fn run(node: Rc<Node>) {
     let mut ticks = time::interval(Duration::from_millis(node.settings.limits.gossip_ms));
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut last = node.now();
     loop {
         ticks.tick().await;
+        let now = node.now();
+        let late = now.since(last).saturating_sub(node.settings.limits.gossip_ms);
+        if late >= PAUSED_MS {
+            warn!("gossip: this process was paused for {late} ms");
+            node.cores.borrow_mut().members.excuse(late);
+        }
+        last = now;
         tell(&node);
         housekeep(&node);
     }
@@ -204,8 +217,11 @@
 /// Forgets what is old.
 fn housekeep(node: &Node) {
     let now = node.now();
-    let cores = &mut *node.cores.borrow_mut();
+    let mut guard = node.cores.borrow_mut();
+    let cores = &mut *guard;
     cores.members.expire(now);
     cores.home.expire(now);
     cores.witness.expire(now);
+    drop(guard);
+    admission::forget_dead_routers(node);
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -48,6 +48,6 @@
         }
         stop.begin();
     });
-    node.run(sockets.http, sockets.head, sockets.ops).await;
+    node.run(sockets.http, sockets.transfers, sockets.ops).await;
     Ok(())
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -49,8 +49,8 @@
     pub http: TcpListener,
     /// Peer port for datagrams.
     pub peer: UdpSocket,
-    /// Peer port for head transfers.
-    pub head: TcpListener,
+    /// Peer port for transfers.
+    pub transfers: TcpListener,
     /// Operators' port.
     pub ops: TcpListener,
 }
@@ -66,7 +66,7 @@
         Ok(Sockets {
             http: TcpListener::bind(settings.http).await.wrap_err_with(|| cannot("callers'"))?,
             peer: UdpSocket::bind(settings.peer).await.wrap_err_with(|| cannot("peer"))?,
-            head: TcpListener::bind(settings.peer).await.wrap_err_with(|| cannot("peer"))?,
+            transfers: TcpListener::bind(settings.peer).await.wrap_err_with(|| cannot("peer"))?,
             ops: TcpListener::bind(settings.ops).await.wrap_err_with(|| cannot("operators'"))?,
         })
     }
@@ -154,10 +154,10 @@
     /// Serves until a planned stop has completed.
     ///
     /// Dropping the returned future ends the router at once, as a crash would.
-    pub async fn run(self: Rc<Node>, http: TcpListener, head: TcpListener, ops: TcpListener) {
+    pub async fn run(self: Rc<Node>, http: TcpListener, transfers: TcpListener, ops: TcpListener) {
         let mut loops = JoinSet::new();
         loops.spawn_local(peer::receive(Rc::clone(&self)));
-        loops.spawn_local(peer::serve_head(Rc::clone(&self), head));
+        loops.spawn_local(peer::serve_transfers(Rc::clone(&self), transfers));
         loops.spawn_local(gossip::run(Rc::clone(&self)));
         loops.spawn_local(probe::run(Rc::clone(&self)));
         loops.spawn_local(follow::follow_log(Rc::clone(&self)));
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -1,4 +1,4 @@
-//! Datagrams and head transfers between routers.
+//! Datagrams and transfers between routers.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -6,10 +6,9 @@
 use mimosaledge_core::{
     endpoints::EndpointId,
     gate::{Ask, AskId, Verdict},
-    head::Fold,
     once::{KeyId, KeyPrefix},
 };
-use mimosaledge_wire::{MAX_DATAGRAM_BYTES, Message, decode, encode};
+use mimosaledge_wire::{MAX_DATAGRAM_BYTES, Message, Transfer, decode, encode};
 use spdlog::{debug, warn};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -21,10 +20,10 @@
 
 /// Bytes of IP and UDP headers around each datagram.
 const HEADER_BYTES: u64 = 28;
-/// Largest head that is accepted from a peer, in bytes.
-const MAX_HEAD_BYTES: u32 = 16 << 20;
-/// Longest time that a head transfer may take.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest transfer that is accepted from a peer, in bytes.
+const MAX_TRANSFER_BYTES: u32 = 16 << 20;
+/// Longest time that a transfer may take.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Sends a message to a peer.
 ///
@@ -128,41 +127,47 @@
     send(node, from, &Message::SealReply { key, reply });
 }
 
-/// Hands the accepted head to peers that connect.
-pub(crate) async fn serve_head(node: Rc<Node>, listener: TcpListener) {
+/// Hands what the platform told this router to peers that connect.
+pub(crate) async fn serve_transfers(node: Rc<Node>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let node = Rc::clone(&node);
         tokio::task::spawn_local(async move {
-            let _ = time::timeout(HEAD_TIMEOUT, write_head(&node, stream)).await;
+            let _ = time::timeout(TRANSFER_TIMEOUT, write_transfer(&node, stream)).await;
         });
     }
 }
 
-async fn write_head(node: &Node, mut stream: TcpStream) -> Result<()> {
-    let bytes = postcard::to_stdvec(&node.cores.borrow().fold)?;
+async fn write_transfer(node: &Node, mut stream: TcpStream) -> Result<()> {
+    let bytes = postcard::to_stdvec(&make_transfer(node))?;
     stream.write_u32(u32::try_from(bytes.len())?).await?;
     stream.write_all(&bytes).await?;
-    node.metrics.sent.with_label_values(&["head"]).inc_by(bytes.len() as u64);
+    node.metrics.sent.with_label_values(&["transfer"]).inc_by(bytes.len() as u64);
     Ok(())
 }
 
-/// Asks a peer for its accepted head.
+fn make_transfer(node: &Node) -> Transfer {
+    let cores = node.cores.borrow();
+    let endpoints = cores.endpoints.iter().map(|(_, it)| it.info.clone()).collect();
+    Transfer { fold: cores.fold.clone(), endpoints }
+}
+
+/// Asks a peer for what the platform told it.
 ///
 /// # Errors
 ///
 /// Returns an error if the transfer fails or takes too long.
-pub(crate) async fn fetch_head(node: &Node, peer: SocketAddr) -> Result<Fold> {
-    let bytes = time::timeout(HEAD_TIMEOUT, read_head(peer)).await??;
-    node.metrics.received.with_label_values(&["head"]).inc_by(bytes.len() as u64);
+pub(crate) async fn fetch_transfer(node: &Node, peer: SocketAddr) -> Result<Transfer> {
+    let bytes = time::timeout(TRANSFER_TIMEOUT, read_transfer(peer)).await??;
+    node.metrics.received.with_label_values(&["transfer"]).inc_by(bytes.len() as u64);
     Ok(postcard::from_bytes(&bytes)?)
 }
 
-async fn read_head(peer: SocketAddr) -> Result<Vec<u8>> {
+async fn read_transfer(peer: SocketAddr) -> Result<Vec<u8>> {
     let mut stream = TcpStream::connect(peer).await?;
     let length = stream.read_u32().await?;
-    if length > MAX_HEAD_BYTES {
-        return Err(eyre!("head of {length} bytes is too large"));
+    if length > MAX_TRANSFER_BYTES {
+        return Err(eyre!("transfer of {length} bytes is too large"));
     }
     let mut bytes = vec![0; length as usize];
     stream.read_exact(&mut bytes).await?;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,12 +2,12 @@
 //!
 //! Datagrams carry one [`Message`] each. Head transfers use TCP on the same
 //! port: the asker connects and reads one length-prefixed
-//! [`Fold`](mimosaledge_core::head::Fold).
+//! [`Transfer`].
 
 mod codec;
 mod message;
 
 pub use crate::{
     codec::{Error, MAX_DATAGRAM_BYTES, Result, decode, encode},
-    message::{Blame, Gossip, Message, MessageKind, Statement},
+    message::{Blame, Gossip, Message, MessageKind, Statement, Transfer},
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,8 +1,9 @@
 //! The messages that routers exchange in datagrams.
 
 use mimosaledge_core::{
-    endpoints::EndpointId,
+    endpoints::{EndpointId, EndpointInfo},
     gate::{Ask, AskId, Verdict},
+    head::Fold,
     members::{Heartbeat, RouterRef},
     once::{Answer, KeyId, KeyPrefix, NoteReply, SealReply},
     quarantine::Death,
@@ -88,6 +89,16 @@
     Blame(Blame),
 }
 
+/// What a router hands to one that asks over TCP: all that the platform told
+/// it, for a router that cannot reach the platform itself.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Transfer {
+    /// The accepted head and how far the log was read.
+    pub fold: Fold,
+    /// Endpoints of the last VM list.
+    pub endpoints: Vec<EndpointInfo>,
+}
+
 /// What a router has heard lately.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Gossip {
