--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -40,8 +40,6 @@
 const BODY_LIMIT: usize = 4 << 20;
 /// Pieces of an answer that wait for a slow reader.
 const STREAM_DEPTH: usize = 256;
-/// Weights fetched for any model, in mebibytes.
-const WEIGHT_MIB: u64 = 100;
 
 /// How the engine treats one request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -301,7 +299,7 @@
         guard.orders.model = order.model;
         guard.orders.version = order.version;
         guard.orders.loading = true;
-        task::spawn_local(load_model(Rc::clone(state)));
+        task::spawn_local(load_model(Rc::clone(state), order.weight_mib));
     }
     if guard.lose_orders == 0 {
         return OrderAnswer::Taken;
@@ -310,10 +308,10 @@
     OrderAnswer::Lost
 }
 
-async fn load_model(state: Shared) {
+async fn load_model(state: Shared, weight_mib: u64) {
     let weights = state.borrow().settings.weights;
     if let Some(addr) = weights {
-        let call = Call::post(addr, format!("/weights?mib={WEIGHT_MIB}"), "");
+        let call = Call::post(addr, format!("/weights?mib={weight_mib}"), "");
         // The store's answer only sets the pace of the load.
         let _ = call.timeout(Duration::from_secs(60)).send_ok().await;
     }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpListener, time::Instant};
 
+pub use self::weights::WeightStatistics;
 use self::{log::LogService, vms::LaggingList, weights::WeightStore};
 use crate::reply::{json, query};
 
--- a/crates/standin/src/platform/weights.rs
+++ b/crates/standin/src/platform/weights.rs
@@ -1,12 +1,15 @@
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::time::{Duration, Instant};
 
 /// What the weight store has served.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-pub(super) struct Statistics {
-    fetches: u64,
-    mib: u64,
-    over_rate: u64,
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightStatistics {
+    /// Fetches begun.
+    pub fetches: u64,
+    /// Mebibytes asked for.
+    pub mib: u64,
+    /// Fetches begun while another was under way.
+    pub over_rate: u64,
 }
 
 /// A store of model weights that serves one fetch after another at its rate.
@@ -14,12 +17,12 @@
 pub(super) struct WeightStore {
     mib_per_s: u64,
     busy_until: Option<Instant>,
-    statistics: Statistics,
+    statistics: WeightStatistics,
 }
 
 impl WeightStore {
     pub(super) fn new(mib_per_s: u64) -> WeightStore {
-        WeightStore { mib_per_s, busy_until: None, statistics: Statistics::default() }
+        WeightStore { mib_per_s, busy_until: None, statistics: WeightStatistics::default() }
     }
 
     /// Starts a fetch and returns how long it takes. A fetch that starts while
@@ -35,7 +38,7 @@
         done - now
     }
 
-    pub(super) fn statistics(&self) -> Statistics {
+    pub(super) fn statistics(&self) -> WeightStatistics {
         self.statistics
     }
 }
--- /dev/null
+++ b/crates/steward/src/settings.rs
@@ -0,0 +1,68 @@
+use std::{net::SocketAddr, path::Path};
+
+use eyre::{Result, WrapErr, eyre};
+use mimosaledge_core::{config::ConfigError, name::Name};
+use mimosaledge_platform::logging::LogLevel;
+use serde::Deserialize;
+
+/// The document kind that distinguishes steward settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Settings of a steward.
+    Steward,
+}
+
+/// Settings of one steward process, read once at start.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Must be `steward`.
+    pub kind: Kind,
+    /// Unique name.
+    pub name: Name,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Rate of the weight store that this fleet may use, in mebibytes per
+    /// second.
+    pub weight_mib_per_s: u64,
+    /// Interval between looks at the engines, in milliseconds.
+    #[serde(default = "default_look_ms")]
+    pub look_ms: u64,
+    /// Least severe level that is logged.
+    #[serde(default)]
+    pub log_level: LogLevel,
+}
+
+fn default_look_ms() -> u64 {
+    500
+}
+
+impl Settings {
+    /// Parses settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with its position for broken YAML or an unknown or
+    /// missing field, and an error if a rate or an interval is zero.
+    pub fn from_yaml(text: &str) -> Result<Settings> {
+        let settings: Settings = serde_saphyr::from_str(text)
+            .map_err(ConfigError::from_yaml)
+            .map_err(|err| eyre!(err))?;
+        if settings.weight_mib_per_s == 0 || settings.look_ms == 0 {
+            return Err(eyre!("weight_mib_per_s and look_ms must be above 0"));
+        }
+        Ok(settings)
+    }
+
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// As [`Settings::from_yaml`], and if the file cannot be read.
+    pub fn from_file(path: &Path) -> Result<Settings> {
+        let text = std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("cannot read {}", path.display()))?;
+        Settings::from_yaml(&text).wrap_err_with(|| path.display().to_string())
+    }
+}
