--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -3,7 +3,8 @@
 use std::{fmt, fs, path::Path};
 
 use mimosaledge_core::config::{Config, ConfigError};
-use mimosaledge_router::Settings;
+use mimosaledge_router::Settings as RouterSettings;
+use mimosaledge_steward::Settings as StewardSettings;
 use serde::Deserialize;
 
 /// A result whose error is a [`CheckError`].
@@ -16,6 +17,8 @@
     Configuration,
     /// Settings of a router.
     Router,
+    /// Settings of a steward.
+    Steward,
 }
 
 /// Why a file was rejected.
@@ -48,7 +51,7 @@
         match self {
             CheckError::Unreadable(err) => write!(f, "cannot read file: {err} (code 5010)"),
             CheckError::UnknownKind => {
-                f.write_str("kind must be configuration or router (code 5011)")
+                f.write_str("kind must be configuration, router or steward (code 5011)")
             }
             CheckError::Configuration(err) => err.fmt(f),
             CheckError::Settings(err) => write!(f, "{err} (code 5012)"),
@@ -93,9 +96,13 @@
             Ok(Checked::Configuration)
         }
         "router" => {
-            Settings::from_yaml(text).map_err(CheckError::Settings)?;
+            RouterSettings::from_yaml(text).map_err(CheckError::Settings)?;
             Ok(Checked::Router)
         }
+        "steward" => {
+            StewardSettings::from_yaml(text).map_err(CheckError::Settings)?;
+            Ok(Checked::Steward)
+        }
         _ => Err(CheckError::UnknownKind),
     }
 }
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -84,9 +84,54 @@
   scripts/fleet.sh restart $deployment papa-lm-1
 }
 
+# Prints the body that PORT answers to GET PATH.
+fetch() {
+  exec 3<>"/dev/tcp/127.0.0.1/$1"
+  printf 'GET %s HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n' "$2" >&3
+  tail -n 1 <&3
+  exec 3<&-
+}
+
+# Publishes version $1 of the model and waits until every engine serves it.
+roll_out() {
+  . "$run/addresses"
+  sed "s/version: 1, weight_mib: 14000/version: $1, weight_mib: 50/" \
+    "deploy/$deployment/config.yaml" >"$run/config-$1.yaml"
+  "$bin/mimosaledge" publish "$run/config-$1.yaml" --platform "$platform" --routers "$ops" --wait \
+    >/dev/null
+  for _ in $(seq 600); do
+    local serving=0 port
+    for port in $(seq $((base_port + 10)) $((base_port + 18))); do
+      case $(fetch "$port" /state) in
+      *"\"version\":$1,\"loading\":false"*) serving=$((serving + 1)) ;;
+      esac
+    done
+    [ "$serving" = 9 ] && return 0
+    sleep 0.1
+  done
+  echo "engines did not reach version $1" >>"$run/replay.out"
+  return 1
+}
+
+# Each steward in turn is frozen past its lease and woken, and the rest of the
+# fleet goes on; no order of the frozen one stays in effect.
+stewards_freeze() {
+  . "deploy/$deployment/fleet.conf"
+  : >"$run/replay.out"
+  {
+    roll_out 2 &&
+    kill -STOP "$(pid steward-1)" && roll_out 3 &&
+    kill -CONT "$(pid steward-1)" && kill -STOP "$(pid steward-2)" && roll_out 4 &&
+    kill -CONT "$(pid steward-2)" && sleep 2 && roll_out 4 &&
+    fetch "$base_port" /weights | tee -a "$run/replay.out" | grep -q '"over_rate":0'
+  } &
+  replay_pid=$!
+}
+
 scenarios=("$@")
 [ ${#scenarios[@]} -gt 0 ] || scenarios=(
   routers_die_and_freeze routers_roll engines_die_and_freeze platform_away all_together
+  stewards_freeze
 )
 for scenario in "${scenarios[@]}"; do
   if grep -q "^test $scenario\b" KNOWN-RED.txt; then
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -45,6 +45,11 @@
     "$1" "$2" "$3" "$peer" "$4" "$region"
 }
 
+# Whether the configuration says that an engine checks fencing numbers.
+fenced() {
+  grep -q "name: $1, .*fenced: true" "deploy/$deployment/config.yaml" && echo --fenced || true
+}
+
 plan() {
   local routers=$1 engines=$2 n zone short port name entries=()
   mkdir -p "$run"
@@ -56,6 +61,7 @@
     zone=${zone_list[n % 3]} short=${short_list[n % 3]}
     name=$short-lm-$((n / 3 + 1)) port=$((base_port + 10 + n))
     echo "$bin/mimosaledge-standin engine --addr 127.0.0.1:$port --name $name --model $model" \
+      "--weights 127.0.0.1:$platform $(fenced "$name")" \
       "--step-ms $step_ms --cache-tokens ${CACHE_TOKENS:-200000}" >"$run/$name.cmd"
     entries+=("$(describe "$name" engine "$port" "$zone")")
   done
@@ -87,6 +93,16 @@
     entries+=("$(describe "$name" router "$port" "$zone" $((port + 1)))")
     http+=("127.0.0.1:$port") ops+=("127.0.0.1:$((port + 2))")
   done
+  for n in 1 2; do
+    cat >"$run/steward-$n.yaml" <<YAML
+kind: steward
+name: steward-$n
+platform: 127.0.0.1:$platform
+weight_mib_per_s: 1000
+log_level: ${LOG_LEVEL:-info}
+YAML
+    echo "$bin/mimosaledge-steward --settings $run/steward-$n.yaml" >"$run/steward-$n.cmd"
+  done
   (IFS=,; echo "[${entries[*]}]" >"$run/vms.json"
    echo "routers=${http[*]}" >"$run/addresses"
    echo "ops=${ops[*]}" >>"$run/addresses")
