Aim at half of the load bound's headroom and wait briefly for a warm engine

Cause: an engine filled up to 1.25 times the mean is over the bound as soon as the mean falls, since admitted requests stay. And a chat that found its warm engine full moved on at once and lost its prefix.

--- a/crates/core/src/gate/gate.rs
+++ b/crates/core/src/gate/gate.rs
@@ -3,6 +3,10 @@
 use super::{Ask, AskId, Limits, Verdict, waiters::Waiters};
 use crate::{members::RouterRef, time::Millis};
 
+/// Share of the headroom between the mean and the bound that admission uses.
+/// The mean falls while admitted requests stay, so a gate that filled the
+/// headroom would soon be over the bound.
+const AIM: f64 = 0.5;
 /// How long a mean load that a router has seen counts, in milliseconds.
 const SEEN_MS: u64 = 100;
 /// Share of an engine's slots above which workspaces are held to their shares.
@@ -209,7 +213,8 @@
     fn limit(&self, limits: &Limits) -> u32 {
         let total = f64::from(limits.others_load + self.load() + 1);
         let mean = (total / f64::from(limits.engines.max(1))).max(self.seen_mean);
-        let bounded = (limits.bound * mean).floor().max(mean.ceil());
+        let aim = 1.0 + (limits.bound - 1.0) * AIM;
+        let bounded = (aim * mean).floor().max(mean.ceil());
         (bounded as u32).min(limits.slots)
     }
 
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -151,7 +151,7 @@
     let after = read_routers(&ops).await;
 
     let mut measures = Measures::from_tally(&tally, &read_runs(&vms).await);
-    measures.skew = Skew::from_samples(&samples);
+    measures.skew = Skew::from_samples(&samples, outcomes.load_bound());
     measures.routers = RouterCost::from_totals(&before, &after, start.elapsed());
     if let Some(path) = &flags.plot {
         draw_loads(&samples, path)?;
--- a/crates/replay/src/outcomes.rs
+++ b/crates/replay/src/outcomes.rs
@@ -7,6 +7,9 @@
 
 use crate::measures::Measures;
 
+/// Load bound of the default configuration.
+const DEFAULT_BOUND: f64 = 1.25;
+
 /// The outcomes that a replay must reach; absent ones are not checked.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -25,6 +28,8 @@
     pub key_false: Option<usize>,
     /// Most keys whose outcome is unknown.
     pub key_unknown: Option<usize>,
+    /// The load bound that the configuration sets; 1.25 if absent.
+    pub load_bound: Option<f64>,
     /// Highest 99.9th percentile of max/mean load.
     pub skew_p999: Option<f64>,
     /// Highest share of samples over the load bound.
@@ -50,6 +55,11 @@
         serde_saphyr::from_str(&text).wrap_err_with(|| path.display().to_string())
     }
 
+    /// Returns the load bound that engines are judged by.
+    pub fn load_bound(&self) -> f64 {
+        self.load_bound.unwrap_or(DEFAULT_BOUND)
+    }
+
     /// Returns the outcomes that `measures` misses, one line each.
     pub fn missed(&self, measures: &Measures) -> Vec<String> {
         let whole = measures.whole as f64 / measures.requests.max(1) as f64;
--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -34,6 +34,10 @@
 
 /// Engines asked for room before the request queues at the least loaded one.
 const MAX_ASKED: usize = 4;
+/// Wait for the engine that holds a chat's prefix before the chat moves on.
+/// It is short beside the limit on the first token, and a move costs the
+/// prefix.
+const PATIENCE: Duration = Duration::from_millis(50);
 /// Times that a broken answer is taken up again.
 const MAX_RESUMES: u32 = 3;
 /// Pieces of an answer that wait for a slow caller.
@@ -344,7 +348,9 @@
 ) -> Result<Placed, NotStarted> {
     let mut full: Option<(u32, EndpointId)> = None;
     for (at, &engine) in ranked.iter().take(MAX_ASKED).enumerate() {
-        match admit(node, engine, gate_ask(node, ask, is_suspect, 0)).await {
+        let is_warm = ask.hint.is_some_and(|hint| hint.engine == engine);
+        let patience = if is_warm { PATIENCE } else { Duration::ZERO };
+        match admit_soon(node, engine, ask, is_suspect, patience).await {
             Admitted::Granted(admission) => {
                 let admission = Some(admission);
                 return Ok(Placed { engine, admission, reason: Reason::Ranked(at) });
@@ -370,6 +376,23 @@
     }
 }
 
+/// Asks for admission and waits for at most `patience`.
+async fn admit_soon(
+    node: &Rc<Node>,
+    engine: EndpointId,
+    ask: &Ask,
+    is_suspect: bool,
+    patience: Duration,
+) -> Admitted {
+    let queue_ms = patience.as_millis() as u64;
+    let gate_ask = gate_ask(node, ask, is_suspect, queue_ms);
+    if patience.is_zero() {
+        return admit(node, engine, gate_ask).await;
+    }
+    // Giving up the wait gives the place in the queue back.
+    time::timeout(patience, admit(node, engine, gate_ask)).await.unwrap_or(Admitted::Full(u32::MAX))
+}
+
 fn gate_ask(node: &Node, ask: &Ask, suspect: bool, queue_ms: u64) -> gate::Ask {
     gate::Ask {
         id: AskId::default(),
