Cut control traffic: locate names the admission home, lists are not re-read

Cause, by kind at 4 to 64 routers (scripts/capacity.sh, 9 engines, 120 requests/s): the VM list was read whole each second and grows with the fleet (2,318 B/s at 16 VMs, 10,409 B/s at 76), and each request to an engine cost about 350 B of admission datagrams.

- The list is read with the tag of the version that the router has.
- locate puts the admission home of the chat's first engine first, where admission is a local call.
The caller's data centre decides only where no engine does; half a millisecond more is small beside a step.
- Asks name the run of a router by a 4-byte tag.
- Gossip rounds are spaced out to a byte rate (2,000 B/s sent).

--- a/crates/core/src/gate/ask.rs
+++ b/crates/core/src/gate/ask.rs
@@ -1,14 +1,14 @@
 use serde::{Deserialize, Serialize};
 
-use crate::members::RouterRef;
+use crate::members::RunTag;
 
 /// Identity of one request for admission.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct AskId {
-    /// The run of the router that asks.
-    pub router: RouterRef,
+    /// Short name of the run of the router that asks.
+    pub run: RunTag,
     /// Counts the asks of that run.
     pub serial: u32,
 }
@@ -29,7 +29,7 @@
     /// Time after which a grant that was not released lapses, in milliseconds.
     pub hold_ms: u32,
     /// Hash of the request; copies of one request run one after another.
-    pub fingerprint: u64,
+    pub fingerprint: u32,
     /// Whether the request was open when an endpoint died; an engine runs one
     /// such request at a time.
     pub suspect: bool,
--- a/crates/core/src/gate/gate.rs
+++ b/crates/core/src/gate/gate.rs
@@ -1,7 +1,7 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::{Ask, AskId, Limits, Verdict, waiters::Waiters};
-use crate::{members::RouterRef, time::Millis};
+use crate::{members::RunTag, time::Millis};
 
 /// Share of the headroom between the mean and the bound that admission uses.
 /// The mean falls while admitted requests stay, so a gate that filled the
@@ -20,7 +20,7 @@
 pub(super) struct Grant {
     workspace: u32,
     share: f32,
-    fingerprint: u64,
+    fingerprint: u32,
     suspect: bool,
     at: Millis,
     lapses_at: Millis,
@@ -152,11 +152,11 @@
         }
     }
 
-    /// Takes back everything that routers held which are no longer alive.
-    pub fn retain_routers(&mut self, is_alive: impl Fn(RouterRef) -> bool) {
-        self.waiters.retain_routers(&is_alive);
+    /// Takes back everything that runs of routers held which are not `alive`.
+    pub fn retain_runs(&mut self, alive: &HashSet<RunTag>) {
+        self.waiters.retain_runs(alive);
         let lost: Vec<AskId> =
-            self.grants.keys().filter(|id| !is_alive(id.router)).copied().collect();
+            self.grants.keys().filter(|id| !alive.contains(&id.run)).copied().collect();
         self.drop_grants(&lost);
     }
 
--- a/crates/core/src/gate/waiters.rs
+++ b/crates/core/src/gate/waiters.rs
@@ -1,5 +1,7 @@
+use std::collections::HashSet;
+
 use super::{Ask, AskId};
-use crate::{members::RouterRef, time::Millis};
+use crate::{members::RunTag, time::Millis};
 
 /// Wait that raises a request by one priority level, in milliseconds.
 const AGING_MS: u64 = 500;
@@ -44,8 +46,8 @@
         self.queue.retain(|it| it.ask.id != id);
     }
 
-    pub(super) fn retain_routers(&mut self, is_alive: impl Fn(RouterRef) -> bool) {
-        self.queue.retain(|it| is_alive(it.ask.id.router));
+    pub(super) fn retain_runs(&mut self, alive: &HashSet<RunTag>) {
+        self.queue.retain(|it| alive.contains(&it.ask.id.run));
     }
 
     /// Removes and returns the requests that waited too long.
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -1,6 +1,9 @@
 //! The routers of the fleet, as one router hears of them by gossip.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashSet},
+    net::SocketAddr,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +35,22 @@
     pub incarnation: u64,
 }
 
+/// A short name of one run of a router, for datagrams that are sent often.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RunTag(pub u32);
+
+impl RouterRef {
+    /// Returns the short name of the run.
+    pub fn tag(self) -> RunTag {
+        let mut bytes = [0; 12];
+        bytes[..4].copy_from_slice(&self.id.to_le_bytes());
+        bytes[4..].copy_from_slice(&self.incarnation.to_le_bytes());
+        RunTag(hash32(&bytes))
+    }
+}
+
 /// What a router tells others of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -145,14 +164,18 @@
         }
     }
 
-    /// Returns whether the run of a router is alive.
-    pub fn is_alive(&self, router: RouterRef, now: Millis) -> bool {
-        let silence = |it: &Member| now.since(it.heard_at);
-        router == self.own
-            || self
-                .table
-                .get(&router.id)
-                .is_some_and(|it| it.heartbeat.router == router && silence(it) < self.dead_after())
+    /// Returns the short names of the runs that are alive, this one included.
+    pub fn alive_runs(&self, now: Millis) -> HashSet<RunTag> {
+        let dead_after = self.dead_after();
+        let heard = |it: &&Member| now.since(it.heard_at) < dead_after;
+        let others = self.table.values().filter(heard).map(|it| it.heartbeat.router.tag());
+        others.chain([self.own.tag()]).collect()
+    }
+
+    /// Returns the peer address of the run with short name `tag`.
+    pub fn peer_of(&self, tag: RunTag) -> Option<SocketAddr> {
+        let run = self.table.values().find(|it| it.heartbeat.router.tag() == tag)?;
+        Some(run.heartbeat.peer)
     }
 
     /// Passes over a router that did not answer in time.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -4,7 +4,11 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, client::conn::http1, header::HOST};
+use hyper::{
+    Method, Request,
+    client::conn::http1,
+    header::{ETAG, HOST, IF_NONE_MATCH},
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task, time};
 
@@ -22,6 +26,7 @@
     body: Bytes,
     timeout: Duration,
     meter: Meter,
+    known_tag: Option<String>,
 }
 
 /// The whole answer to a [`Call`].
@@ -31,6 +36,8 @@
     pub status: u16,
     /// Body.
     pub body: Bytes,
+    /// Tag of the version that the body shows.
+    pub tag: Option<String>,
 }
 
 impl Call {
@@ -43,6 +50,7 @@
             body: Bytes::new(),
             timeout: Duration::from_secs(2),
             meter: Meter::default(),
+            known_tag: None,
         }
     }
 
@@ -65,6 +73,14 @@
         self
     }
 
+    /// Sets the tag of a version that the caller has; the answer has status 304
+    /// and no body if that is still the newest.
+    #[must_use]
+    pub fn known_tag(mut self, tag: Option<String>) -> Call {
+        self.known_tag = tag;
+        self
+    }
+
     /// Sends the call and waits for the whole answer, whatever its status.
     ///
     /// # Errors
@@ -98,15 +114,18 @@
         let io = TokioIo::new(self.meter.wrap(stream));
         let (mut sender, connection) = http1::handshake(io).await.map_err(Error::broken)?;
         task::spawn_local(connection);
-        let request = Request::builder()
+        let mut builder = Request::builder()
             .method(self.method)
             .uri(self.path)
-            .header(HOST, self.addr.to_string())
-            .body(Full::new(self.body))
-            .map_err(Error::malformed)?;
+            .header(HOST, self.addr.to_string());
+        if let Some(tag) = self.known_tag {
+            builder = builder.header(IF_NONE_MATCH, tag);
+        }
+        let request = builder.body(Full::new(self.body)).map_err(Error::malformed)?;
         let response = sender.send_request(request).await.map_err(Error::broken)?;
         let status = response.status().as_u16();
+        let tag = response.headers().get(ETAG).and_then(|it| it.to_str().ok()).map(str::to_owned);
         let body = response.into_body().collect().await.map_err(Error::broken)?.to_bytes();
-        Ok(Reply { status, body })
+        Ok(Reply { status, body, tag })
     }
 }
--- a/crates/platform/src/vms.rs
+++ b/crates/platform/src/vms.rs
@@ -1,6 +1,6 @@
 //! The platform's lagging list of live and leaving VMs.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use mimosaledge_core::name::Name;
 use serde::{Deserialize, Serialize};
@@ -12,6 +12,9 @@
     meter::Meter,
 };
 
+/// HTTP status of a list that has not changed.
+const UNCHANGED: u16 = 304;
+
 /// What runs on a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -48,30 +51,41 @@
 
 /// A list of VMs that may lag behind the truth.
 pub trait VmList {
-    /// Returns the list as the platform has it now.
-    fn list(&self) -> Pending<'_, Result<Vec<Vm>>>;
+    /// Returns the list, or `None` if it is as it was at the last call.
+    fn changes(&self) -> Pending<'_, Result<Option<Vec<Vm>>>>;
 }
 
 /// The VM list over HTTP.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct HttpVmList {
     addr: SocketAddr,
     timeout: Duration,
     meter: Meter,
+    tag: RefCell<Option<String>>,
 }
 
 impl HttpVmList {
     /// Creates a client of the VM list at `addr`.
     pub fn new(addr: SocketAddr, timeout: Duration, meter: Meter) -> HttpVmList {
-        HttpVmList { addr, timeout, meter }
+        HttpVmList { addr, timeout, meter, tag: RefCell::default() }
     }
 }
 
 impl VmList for HttpVmList {
-    fn list(&self) -> Pending<'_, Result<Vec<Vm>>> {
+    fn changes(&self) -> Pending<'_, Result<Option<Vec<Vm>>>> {
         Box::pin(async move {
+            let known = self.tag.borrow().clone();
             let call = Call::get(self.addr, "/vms").timeout(self.timeout).meter(&self.meter);
-            serde_json::from_slice(&call.send_ok().await?).map_err(Error::malformed)
+            let reply = call.known_tag(known).send().await?;
+            match reply.status {
+                200 => {
+                    let vms = serde_json::from_slice(&reply.body).map_err(Error::malformed)?;
+                    self.tag.replace(reply.tag);
+                    Ok(Some(vms))
+                }
+                UNCHANGED => Ok(None),
+                status => Err(Error::status(status)),
+            }
         })
     }
 }
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -68,7 +68,7 @@
 ///
 /// Waits as long as the ask allows for a place in the engine's queue.
 pub(crate) async fn admit(node: &Rc<Node>, engine: EndpointId, mut ask: Ask) -> Admitted {
-    ask.id = AskId { router: node.own, serial: node.next_serial() };
+    ask.id = AskId { run: node.own.tag(), serial: node.next_serial() };
     let mut answers = node.verdicts.register(ask.id);
     let deadline = node.now() + u64::from(ask.queue_ms) + QUEUE_REPEAT.as_millis() as u64;
     let mut pass = Admission { node: Rc::clone(node), engine, id: ask.id, home: None };
@@ -183,8 +183,9 @@
 pub(crate) fn forget_dead_routers(node: &Node) {
     let now = node.now();
     let Cores { members, gates, .. } = &mut *node.cores.borrow_mut();
+    let alive = members.alive_runs(now);
     for gate in gates.values_mut() {
-        gate.retain_routers(|router| members.is_alive(router, now));
+        gate.retain_runs(&alive);
     }
 }
 
@@ -232,13 +233,13 @@
 /// Sends decisions to the routers that wait for them.
 fn tell(node: &Node, engine: EndpointId, verdicts: Vec<(AskId, Verdict)>) {
     for (id, verdict) in verdicts {
-        if id.router == node.own {
+        if id.run == node.own.tag() {
             if !node.verdicts.deliver(&id, verdict) && verdict.is_granted() {
                 release(node, engine, id);
             }
             continue;
         }
-        let peer = node.cores.borrow().members.get(id.router.id).map(|it| it.heartbeat.peer);
+        let peer = node.cores.borrow().members.peer_of(id.run);
         if let Some(peer) = peer {
             peer::send(node, peer, &Message::Verdict { engine, id, verdict });
         }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -170,7 +170,7 @@
     loop {
         ticks.tick().await;
         // During an outage the last list stays in use.
-        if let Ok(vms) = node.list.list().await {
+        if let Ok(Some(vms)) = node.list.changes().await {
             absorb_list(&node, vms);
         }
     }
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -86,31 +86,38 @@
 
 /// Tells a few peers each round until it is dropped.
 pub(crate) async fn run(node: Rc<Node>) {
-    let mut ticks = time::interval(Duration::from_millis(node.settings.limits.gossip_ms));
-    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    let mut last = node.now();
     loop {
-        ticks.tick().await;
-        let now = node.now();
-        let late = now.since(last).saturating_sub(node.settings.limits.gossip_ms);
+        let sent = tell(&node);
+        housekeep(&node);
+        let pause = round_ms(&node, sent);
+        let slept_at = node.now();
+        time::sleep(Duration::from_millis(pause)).await;
+        let late = node.now().since(slept_at).saturating_sub(pause);
         if late >= PAUSED_MS {
             warn!("gossip: this process was paused for {late} ms");
             node.cores.borrow_mut().members.excuse(late);
         }
-        last = now;
-        tell(&node);
-        housekeep(&node);
     }
 }
 
-/// Tells a few peers what this router has heard lately.
-pub(crate) fn tell(node: &Node) {
+/// Returns the time until the next round: datagrams grow with the fleet up to
+/// their limit, and rounds are spaced out to stay within the byte rate.
+fn round_ms(node: &Node, sent: u64) -> u64 {
+    let limits = &node.settings.limits;
+    limits.gossip_ms.max(sent * 1_000 / limits.gossip_bytes)
+}
+
+/// Tells a few peers what this router has heard lately; returns the bytes that
+/// it took.
+fn tell(node: &Node) -> u64 {
     let now = node.now();
     beat(node, now);
+    let mut sent = 0;
     for peer in choose_peers(node, now) {
         let gossip = make_gossip(&mut node.cores.borrow_mut(), now);
-        peer::send(node, peer, &Message::Gossip(gossip));
+        sent += peer::send(node, peer, &Message::Gossip(gossip));
     }
+    sent
 }
 
 /// Tells every peer, for changes that cannot wait for their turn.
--- a/crates/router/src/locate.rs
+++ b/crates/router/src/locate.rs
@@ -3,7 +3,13 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use hyper::Response;
-use mimosaledge_core::{Code, members::zone_hash, once::KeyPrefix};
+use mimosaledge_core::{
+    Code,
+    hash::{hash32, rendezvous_score},
+    head::Active,
+    members::{Heartbeat, zone_hash},
+    once::KeyPrefix,
+};
 use mimosaledge_platform::server::{ReplyBody, reply};
 use serde::Serialize;
 
@@ -40,7 +46,10 @@
     }
     let key = chat_key(workspace, field("chat").unwrap_or(""));
     let zone = field("zone").map_or_else(|| zone_hash(&node.settings.zone), zone_hash);
-    let ranked = node.cores.borrow().members.rank(key, zone, node.now());
+    let mut ranked = node.cores.borrow().members.rank(key, zone, node.now());
+    if let Some(model) = field("model").or_else(|| only_model(&active)) {
+        prefer_home(node, &mut ranked, key, model);
+    }
     let routers: Vec<SocketAddr> = ranked.iter().take(MAX_ROUTERS).map(|it| it.http).collect();
     if routers.is_empty() {
         return refuse(node, Code::Draining);
@@ -52,6 +61,29 @@
     response
 }
 
+/// Returns the name of the model if the configuration has just one.
+fn only_model(active: &Active) -> Option<&str> {
+    let mut models = active.config.models.keys();
+    models.next().filter(|_| models.next().is_none()).map(|it| &**it)
+}
+
+/// Puts the admission home of the chat's first engine first, where admission
+/// costs no datagrams.
+fn prefer_home(node: &Node, ranked: &mut [Heartbeat], key: u64, model: &str) {
+    let cores = node.cores.borrow();
+    let region = &node.settings.region;
+    let engines = cores.endpoints.live_engines(hash32(model.as_bytes()));
+    let first = engines
+        .filter(|(_, it)| it.info.region == *region)
+        .map(|(id, _)| (rendezvous_score(key, u64::from(id.0), 1.0), id))
+        .max_by(|a, b| a.0.total_cmp(&b.0));
+    let Some((_, engine)) = first else { return };
+    let home = cores.members.admission_home(engine.0, node.now()).router;
+    if let Some(at) = ranked.iter().position(|it| it.router == home) {
+        ranked[..=at].rotate_right(1);
+    }
+}
+
 /// Gives out a prefix whose home is this router, unless it is about to stop.
 pub(crate) fn issue_prefix(node: &Node) -> Option<KeyPrefix> {
     if node.is_draining() {
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -25,15 +25,15 @@
 /// Longest time that a transfer may take.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Sends a message to a peer.
+/// Sends a message to a peer; returns the bytes that it took.
 ///
 /// Datagrams may be lost, so a failure to send is only logged.
-pub(crate) fn send(node: &Node, to: SocketAddr, message: &Message) {
+pub(crate) fn send(node: &Node, to: SocketAddr, message: &Message) -> u64 {
     let datagram = match encode(message) {
         Ok(datagram) => datagram,
         Err(err) => {
             warn!("peer: dropped a message to {to}: {err}");
-            return;
+            return 0;
         }
     };
     let bytes = datagram.len() as u64 + HEADER_BYTES;
@@ -41,6 +41,7 @@
     if let Err(err) = node.socket.try_send_to(&datagram, to) {
         debug!("peer: sending to {to} failed: {err}");
     }
+    bytes
 }
 
 /// Sends a message to every live peer.
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -143,7 +143,7 @@
         priority: ask.class.priority,
         queue_ms: queue_ms as u32,
         hold_ms: ask.time_left(node.now()) as u32,
-        fingerprint: ask.fingerprint,
+        fingerprint: ask.fingerprint as u32,
         suspect,
         seen_mean: pool_mean(node, hash32(ask.model.as_bytes())) as f32,
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -57,6 +57,9 @@
     pub gossip_ms: u64,
     /// Peers told in each gossip round.
     pub gossip_fanout: usize,
+    /// Gossip sent, in bytes per second; rounds are spaced out to stay within
+    /// it.
+    pub gossip_bytes: u64,
     /// Interval between probes of an endpoint, in milliseconds.
     pub probe_ms: u64,
     /// Interval between reads of the log, in milliseconds.
@@ -88,9 +91,10 @@
         Limits {
             gossip_ms: 500,
             gossip_fanout: 2,
+            gossip_bytes: 2_000,
             probe_ms: 500,
-            follow_ms: 500,
-            list_ms: 1_000,
+            follow_ms: 1_000,
+            list_ms: 2_000,
             keep_ms: 2_000,
             drain_ms: 60_000,
             connect_ms: 250,
@@ -118,6 +122,7 @@
         let limits = &settings.limits;
         let intervals = [
             ("gossip_ms", limits.gossip_ms),
+            ("gossip_bytes", limits.gossip_bytes),
             ("probe_ms", limits.probe_ms),
             ("follow_ms", limits.follow_ms),
             ("list_ms", limits.list_ms),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,7 +6,11 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use hyper::{Method, Request, Response, body::Incoming};
+use hyper::{
+    Method, Request, Response,
+    body::Incoming,
+    header::{ETAG, IF_NONE_MATCH},
+};
 use mimosaledge_platform::{
     Vm,
     server::{ReplyBody, read_body, reply, serve},
@@ -110,7 +114,7 @@
     match (request.method(), path.as_str()) {
         (&Method::GET, "/vms") => {
             let mode = state.borrow().list_mode;
-            guarded(mode, async move { json(state.borrow_mut().list.shown(Instant::now())) }).await
+            guarded(mode, async move { show_list(&state, &request) }).await
         }
         (&Method::POST, "/weights") => fetch_weights(state, &request).await,
         (&Method::GET, "/weights") => json(&state.borrow().weights.statistics()),
@@ -119,6 +123,19 @@
     }
 }
 
+/// Answers with the list and its tag, or with 304 to a caller that has it.
+fn show_list(state: &RefCell<State>, request: &Request<Incoming>) -> Response<ReplyBody> {
+    let mut state = state.borrow_mut();
+    let (tag, vms) = state.list.shown(Instant::now());
+    let tag = format!("\"{tag}\"");
+    let known = request.headers().get(IF_NONE_MATCH).is_some_and(|it| *it == tag);
+    let mut response = if known { reply(304, "") } else { json(vms) };
+    if let Ok(value) = tag.parse() {
+        response.headers_mut().insert(ETAG, value);
+    }
+    response
+}
+
 async fn guarded(
     mode: Mode,
     answer: impl Future<Output = Response<ReplyBody>>,
--- a/crates/standin/src/platform/vms.rs
+++ b/crates/standin/src/platform/vms.rs
@@ -4,6 +4,7 @@
 /// A list of VMs that shows each change only after a lag.
 #[derive(Debug)]
 pub(super) struct LaggingList {
+    version: u64,
     shown: Vec<Vm>,
     pending: Vec<(Instant, Vec<Vm>)>,
     lag: Duration,
@@ -11,7 +12,12 @@
 
 impl LaggingList {
     pub(super) fn new(vms: Vec<Vm>, lag_ms: u64) -> LaggingList {
-        LaggingList { shown: vms, pending: Vec::new(), lag: Duration::from_millis(lag_ms) }
+        LaggingList {
+            version: 0,
+            shown: vms,
+            pending: Vec::new(),
+            lag: Duration::from_millis(lag_ms),
+        }
     }
 
     pub(super) fn set(&mut self, vms: Option<Vec<Vm>>, lag_ms: Option<u64>, now: Instant) {
@@ -21,11 +27,13 @@
         }
     }
 
-    pub(super) fn shown(&mut self, now: Instant) -> &[Vm] {
+    /// Returns the list that callers see, and the number of its version.
+    pub(super) fn shown(&mut self, now: Instant) -> (u64, &[Vm]) {
         let due = self.pending.iter().take_while(|(at, _)| *at <= now).count();
         if let Some((_, vms)) = self.pending.drain(..due).next_back() {
             self.shown = vms;
+            self.version += 1;
         }
-        &self.shown
+        (self.version, &self.shown)
     }
 }
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -109,7 +109,7 @@
         if let Some(head) = &self.fold.head {
             self.in_force.follow(head);
         }
-        if let Ok(vms) = self.list.list().await {
+        if let Ok(Some(vms)) = self.list.changes().await {
             self.vms = vms;
         }
     }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -8,7 +8,8 @@
 #   fleet.sh addresses DEPLOYMENT         prints routers' ports as shell variables
 #
 # Environment: BIN (directory of the programs), POLICY, LOG_LEVEL,
-# CACHE_TOKENS, STEP_MS, SNAPSHOT_EVERY, KEEP_MS, BASE_PORT.
+# CACHE_TOKENS, STEP_MS, SLOTS, CONFIG (a file), SNAPSHOT_EVERY, KEEP_MS,
+# BASE_PORT.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=${BIN:-target/release}
@@ -62,7 +63,7 @@
     name=$short-lm-$((n / 3 + 1)) port=$((base_port + 10 + n))
     echo "$bin/mimosaledge-standin engine --addr 127.0.0.1:$port --name $name --model $model" \
       "--weights 127.0.0.1:$platform $(fenced "$name")" \
-      "--step-ms $step_ms --cache-tokens ${CACHE_TOKENS:-200000}" >"$run/$name.cmd"
+      "--step-ms $step_ms --slots ${SLOTS:-16} --cache-tokens ${CACHE_TOKENS:-200000}" >"$run/$name.cmd"
     entries+=("$(describe "$name" engine "$port" "$zone")")
   done
   for ((n = 0; n < 3; n++)); do
@@ -115,7 +116,7 @@
   for file in "$run"/*.cmd; do launch "$(basename "$file" .cmd)"; done
   . "$run/addresses"
   for address in ${routers//,/ } ${ops//,/ } "$platform"; do wait_for_port "${address##*:}"; done
-  "$bin/mimosaledge" publish "deploy/$deployment/config.yaml" \
+  "$bin/mimosaledge" publish "${CONFIG:-deploy/$deployment/config.yaml}" \
     --platform "$platform" --routers "$ops" --wait
   # Endpoints must have been probed once before the first request.
   sleep 1.5
