Keep one admission home for each engine in larger fleets

Cause: at 32 routers 88.7% of samples were over the load bound and one engine carried 1.49 times the mean over the whole run. 'mimosaledge status' showed routers that took only 18 to 32 of 32 for alive: whole heartbeats of 45 bytes, 12 a datagram, came round too slowly, so engines had several admission homes at once, each with its own count.

Ruled out: the age of the pool's mean alone.

- Gossip carries short heartbeats of 6 bytes, 60 a datagram; whole ones only where something changed.
- Admission homes tell each other their loads while they change.

scripts/faults.sh many_routers_stay_alive: all of 32 see 32 in each of six looks.

--- a/crates/core/src/endpoints/endpoint.rs
+++ b/crates/core/src/endpoints/endpoint.rs
@@ -154,8 +154,7 @@
     }
 
     /// Takes in what the endpoint's admission home says of it.
-    pub fn stated(&mut self, report: LoadReport, admitted: u32, up: bool, now: Millis) {
-        self.admitted = admitted;
+    pub fn stated(&mut self, report: LoadReport, up: bool, now: Millis) {
         if up {
             self.answered(report, now);
         } else {
--- a/crates/core/src/gate/ask.rs
+++ b/crates/core/src/gate/ask.rs
@@ -49,6 +49,8 @@
     Full {
         /// The engine's load.
         load: u32,
+        /// Requests that wait for the engine.
+        waiting: u32,
     },
     /// A copy of the request runs on the engine; wait for its end here, since
     /// another engine might die of it too.
--- a/crates/core/src/gate/gate.rs
+++ b/crates/core/src/gate/gate.rs
@@ -112,7 +112,7 @@
             return Verdict::Duplicate;
         }
         if ask.queue_ms == 0 {
-            return Verdict::Full { load: self.load() };
+            return Verdict::Full { load: self.load(), waiting: self.waiters.len() as u32 };
         }
         self.enqueue(ask, limits, now, evicted)
     }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -41,6 +41,13 @@
 )]
 pub struct RunTag(pub u32);
 
+impl Heartbeat {
+    /// Returns whether `other` says the same but for the count.
+    pub fn says_same(&self, other: &Heartbeat) -> bool {
+        Heartbeat { beat: other.beat, ..*self } == *other
+    }
+}
+
 impl RouterRef {
     /// Returns the short name of the run.
     pub fn tag(self) -> RunTag {
@@ -137,6 +144,18 @@
         }
     }
 
+    /// Takes in a short heartbeat of a run that is known; returns the router's
+    /// identity if it is newer than the last one.
+    pub fn hear_beat(&mut self, run: RunTag, beat: u32, now: Millis) -> Option<u32> {
+        let own = self.own.id;
+        let known = self.table.values_mut().find(|it| it.heartbeat.router.tag() == run);
+        let known = known.filter(|it| it.heartbeat.router.id != own);
+        let member = known.filter(|it| beat > it.heartbeat.beat)?;
+        member.heartbeat.beat = beat;
+        member.heard_at = now;
+        Some(member.heartbeat.router.id)
+    }
+
     /// Takes in a router that the VM list names but that was never heard of.
     pub fn introduce(&mut self, heartbeat: Heartbeat, now: Millis) {
         if !self.table.contains_key(&heartbeat.router.id) {
--- a/crates/core/tests/cores.rs
+++ b/crates/core/tests/cores.rs
@@ -53,6 +53,17 @@
     assert_eq!(members.get(1).unwrap().heartbeat.router.incarnation, 2);
 }
 
+#[test]
+fn short_heartbeat_counts_for_its_own_run_only() {
+    let mut members = fleet(3);
+    let run = RouterRef { id: 1, incarnation: 1 }.tag();
+    assert_eq!(members.hear_beat(run, 5, Millis(100)), Some(1));
+    assert_eq!(members.hear_beat(run, 5, Millis(200)), None);
+    let other = RouterRef { id: 1, incarnation: 2 }.tag();
+    assert_eq!(members.hear_beat(other, 9, Millis(200)), None);
+    assert_eq!(members.get(1).unwrap().heard_at, Millis(100));
+}
+
 #[test]
 fn own_pause_does_not_make_others_dead() {
     let mut members = fleet(3);
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -180,7 +180,7 @@
     let mut gate = Gate::inherit(8, Millis(2_000));
     assert_eq!(
         decide(&mut gate, Ask { queue_ms: 0, ..ask(1, 1, 5) }, &LIMITS),
-        Verdict::Full { load: 8 }
+        Verdict::Full { load: 8, waiting: 0 }
     );
     gate.settle(&LIMITS, Millis(2_000));
     assert_eq!(gate.load(), 0);
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -14,6 +14,7 @@
 use tokio::time;
 
 use crate::{
+    loads,
     node::{Cores, Node, preset},
     peer,
     pending::Awaited,
@@ -56,7 +57,7 @@
 pub(crate) enum Admitted {
     /// The request may go to the engine.
     Granted(Admission),
-    /// The engine is at its bound and carries this load.
+    /// The engine is at its bound; the value counts what runs and waits there.
     Full(u32),
     /// A copy of the request runs on the engine.
     Duplicate,
@@ -80,9 +81,9 @@
                 note_load(node, engine, load);
                 return Admitted::Granted(pass);
             }
-            Some(Verdict::Full { load }) => {
+            Some(Verdict::Full { load, waiting }) => {
                 note_load(node, engine, load);
-                return Admitted::Full(load);
+                return Admitted::Full(load + waiting);
             }
             Some(Verdict::Duplicate) => return Admitted::Duplicate,
             Some(Verdict::Refused { retry_ms }) => return Admitted::Refused(retry_ms),
@@ -98,10 +99,7 @@
 
 /// Takes in a load at first hand, which is newer than what gossip tells.
 fn note_load(node: &Node, engine: EndpointId, load: u32) {
-    let cores = &mut *node.cores.borrow_mut();
-    if let Some(endpoint) = cores.endpoints.get_mut(engine) {
-        endpoint.admitted = load;
-    }
+    loads::note(&mut node.cores.borrow_mut(), engine, load, node.now());
 }
 
 /// Returns the mean load of the engines that serve `model` in the region.
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -13,12 +13,12 @@
     hash::hash64,
     members::Heartbeat,
 };
-use mimosaledge_wire::{Gossip, Message, Statement};
+use mimosaledge_wire::{Beat, Gossip, Message, Statement};
 use spdlog::warn;
 use tokio::time;
 
 use crate::{
-    admission,
+    admission, loads,
     node::{Cores, Node},
     peer,
 };
@@ -26,8 +26,10 @@
 /// Lateness of a round from which this process counts as paused, in
 /// milliseconds.
 const PAUSED_MS: u64 = 1_000;
-/// Heartbeats in one datagram.
-const MAX_HEARTBEATS: usize = 12;
+/// Whole heartbeats in one datagram.
+const MAX_HEARTBEATS: usize = 4;
+/// Short heartbeats in one datagram.
+const MAX_BEATS: usize = 60;
 /// Endpoint states in one datagram.
 const MAX_STATEMENTS: usize = 32;
 /// Age from which a statement is not passed on, in milliseconds.
@@ -37,7 +39,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Digest {
     observed: BTreeMap<EndpointId, Observation>,
-    told_routers: HashMap<u32, u32>,
+    /// Times that a router's whole heartbeat was told since it changed.
+    told_whole: HashMap<u32, u32>,
+    /// Times that a router's latest count was told.
+    told_beats: HashMap<u32, u32>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -72,16 +77,30 @@
             .collect()
     }
 
-    /// Returns the heartbeats least often told about, and counts them as told.
-    fn take_heartbeats(&mut self, mut known: Vec<Heartbeat>) -> Vec<Heartbeat> {
-        let told = &mut self.told_routers;
-        known.sort_by_key(|it| told.get(&it.router.id).copied().unwrap_or(0));
-        known.truncate(MAX_HEARTBEATS - 1);
-        for heartbeat in &known {
-            *told.entry(heartbeat.router.id).or_default() += 1;
-        }
-        known
+    /// Returns the whole heartbeats least often told, and counts them as told.
+    fn take_heartbeats(&mut self, known: &[Heartbeat]) -> Vec<Heartbeat> {
+        take_least_told(&mut self.told_whole, known, MAX_HEARTBEATS - 1)
+    }
+
+    /// Returns the counts least often told, and counts them as told.
+    fn take_beats(&mut self, known: &[Heartbeat]) -> Vec<Beat> {
+        let taken = take_least_told(&mut self.told_beats, known, MAX_BEATS);
+        taken.iter().map(|it| Beat { run: it.router.tag(), beat: it.beat }).collect()
+    }
+}
+
+fn take_least_told(
+    told: &mut HashMap<u32, u32>,
+    known: &[Heartbeat],
+    count: usize,
+) -> Vec<Heartbeat> {
+    let mut taken = known.to_vec();
+    taken.sort_by_key(|it| told.get(&it.router.id).copied().unwrap_or(0));
+    taken.truncate(count);
+    for heartbeat in &taken {
+        *told.entry(heartbeat.router.id).or_default() += 1;
     }
+    taken
 }
 
 /// Tells a few peers each round until it is dropped.
@@ -157,15 +176,16 @@
 
 fn make_gossip(cores: &mut Cores, now: Millis) -> Gossip {
     let own = cores.members.own_heartbeat();
-    let others = cores.members.peers(now).map(|it| it.heartbeat).collect();
+    let others: Vec<Heartbeat> = cores.members.peers(now).map(|it| it.heartbeat).collect();
     let mut heartbeats = vec![own];
-    heartbeats.extend(cores.digest.take_heartbeats(others));
+    heartbeats.extend(cores.digest.take_heartbeats(&others));
+    let beats = cores.digest.take_beats(&others);
     let young = cores.digest.take_endpoints(now);
     let statements = young
         .into_iter()
         .filter_map(|(id, age)| Some(make_statement(cores.endpoints.get(id)?, age)))
         .collect();
-    Gossip { from: own.router, heartbeats, statements }
+    Gossip { from: own.router, heartbeats, beats, statements }
 }
 
 fn make_statement(endpoint: &Endpoint, age: u64) -> Statement {
@@ -188,8 +208,11 @@
     let behind = gossip.heartbeats.iter().any(|it| it.head > own_head);
     let cores = &mut *node.cores.borrow_mut();
     for heartbeat in gossip.heartbeats {
-        if cores.members.hear(heartbeat, now) {
-            cores.digest.told_routers.insert(heartbeat.router.id, 0);
+        absorb_heartbeat(cores, heartbeat, now);
+    }
+    for beat in gossip.beats {
+        if let Some(id) = cores.members.hear_beat(beat.run, beat.beat, now) {
+            cores.digest.told_beats.insert(id, 0);
         }
     }
     for statement in gossip.statements {
@@ -200,6 +223,18 @@
     }
 }
 
+fn absorb_heartbeat(cores: &mut Cores, heartbeat: Heartbeat, now: Millis) {
+    let id = heartbeat.router.id;
+    let known = cores.members.get(id).map(|it| it.heartbeat);
+    if !cores.members.hear(heartbeat, now) {
+        return;
+    }
+    cores.digest.told_beats.insert(id, 0);
+    if known.is_none_or(|known| !known.says_same(&heartbeat)) {
+        cores.digest.told_whole.insert(id, 0);
+    }
+}
+
 fn absorb_statement(cores: &mut Cores, statement: &Statement, now: Millis) {
     let id = statement.endpoint;
     // The admission home knows its endpoints at first hand.
@@ -217,8 +252,9 @@
         model: statement.model,
     };
     if let Some(endpoint) = cores.endpoints.get_mut(id) {
-        endpoint.stated(report, statement.admitted, statement.up, now);
+        endpoint.stated(report, statement.up, now);
     }
+    loads::note(cores, id, statement.admitted, at);
 }
 
 /// Forgets what is old.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,7 +11,7 @@
 //! | `start`, `run` | send a request to an engine, with retries |
 //! | `stream`, `relay` | stream the answer, resuming where it breaks |
 //! | `once` | runs non-idempotent requests at most once |
-//! | `admission` | asks the admission home of an engine |
+//! | `admission`, `loads` | let requests in at engines, through their admission homes |
 //! | `peer` | exchanges datagrams with other routers |
 //! | `follow` | follows the platform's log and VM list |
 //! | `probe` | probes the endpoints that this router is home of |
@@ -26,6 +26,7 @@
 mod front;
 mod generate;
 mod gossip;
+mod loads;
 mod locate;
 mod metrics;
 mod node;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -32,6 +32,7 @@
 use crate::{
     deaths, drain, follow, front,
     gossip::{self, Digest},
+    loads::{self, KnownLoads},
     metrics::Metrics,
     ops, peer,
     pending::Pending,
@@ -78,6 +79,7 @@
     pub(crate) members: Members,
     pub(crate) endpoints: Endpoints,
     pub(crate) digest: Digest,
+    pub(crate) loads: KnownLoads,
     pub(crate) policy: Box<dyn Policy>,
     pub(crate) gates: HashMap<EndpointId, Gate>,
     pub(crate) home: Home,
@@ -159,6 +161,7 @@
         loops.spawn_local(peer::receive(Rc::clone(&self)));
         loops.spawn_local(peer::serve_transfers(Rc::clone(&self), transfers));
         loops.spawn_local(gossip::run(Rc::clone(&self)));
+        loops.spawn_local(loads::run(Rc::clone(&self)));
         loops.spawn_local(probe::run(Rc::clone(&self)));
         loops.spawn_local(follow::follow_log(Rc::clone(&self)));
         loops.spawn_local(follow::follow_list(Rc::clone(&self)));
@@ -209,6 +212,7 @@
             members: Members::new(heartbeat, Millis::default()),
             endpoints: Endpoints::new().map_err(chart_error)?,
             digest: Digest::default(),
+            loads: KnownLoads::default(),
             policy: settings.policy.build(own.incarnation, DEFAULT_BOUND),
             gates: HashMap::new(),
             home: home.map_err(chart_error)?,
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -16,7 +16,7 @@
     time,
 };
 
-use crate::{admission, deaths, gossip, node::Node};
+use crate::{admission, deaths, gossip, loads, node::Node};
 
 /// Bytes of IP and UDP headers around each datagram.
 const HEADER_BYTES: u64 = 28;
@@ -72,6 +72,7 @@
 fn dispatch(node: &Rc<Node>, message: Message, from: SocketAddr) {
     match message {
         Message::Gossip(gossip) => gossip::absorb(node, gossip),
+        Message::Loads(loads) => loads::absorb(node, &loads),
         Message::Ask { engine, ask } => take_ask(node, engine, ask, from),
         Message::Verdict { engine, id, verdict } => {
             take_verdict(node, engine, id, verdict, from);
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -57,7 +57,7 @@
 pub(crate) enum Reason {
     /// It came at this place in the ranking and had room.
     Ranked(usize),
-    /// Engines were at their bound; this one was the least loaded.
+    /// Engines were at their bound; this one had the shortest queue with room.
     LeastLoaded,
 }
 
@@ -81,14 +81,14 @@
     pub(crate) reason: Reason,
 }
 
-/// Finds an engine with room, or queues at the least loaded of those asked.
+/// Finds an engine with room, or queues at one of those asked.
 pub(crate) async fn place(
     node: &Rc<Node>,
     ask: &Ask,
     ranked: &[EndpointId],
     is_suspect: bool,
 ) -> Result<Placed, NotStarted> {
-    let mut full: Option<(u32, EndpointId)> = None;
+    let mut full: Vec<(u32, EndpointId)> = Vec::new();
     for (at, &engine) in ranked.iter().take(MAX_ASKED).enumerate() {
         let is_warm = ask.hint.is_some_and(|hint| hint.engine == engine);
         let patience = if is_warm { PATIENCE } else { Duration::ZERO };
@@ -97,25 +97,41 @@
                 let admission = Some(admission);
                 return Ok(Placed { engine, admission, reason: Reason::Ranked(at) });
             }
-            Admitted::Full(load) if full.is_none_or(|(least, _)| load < least) => {
-                full = Some((load, engine));
-            }
-            Admitted::Full(_) | Admitted::Refused(_) => {}
+            Admitted::Full(load) => full.push((load, engine)),
+            Admitted::Refused(_) => {}
             Admitted::Duplicate => {
-                full = Some((0, engine));
+                full = vec![(0, engine)];
                 break;
             }
         }
     }
-    let Some((_, engine)) = full else { return Err(Code::Overloaded.into()) };
-    let queue_ms = ask.class.queue_ms.min(ask.time_left(node.now()));
-    match admit(node, engine, gate_ask(node, ask, is_suspect, queue_ms)).await {
-        Admitted::Granted(admission) => {
-            Ok(Placed { engine, admission: Some(admission), reason: Reason::LeastLoaded })
+    full.sort_by_key(|(load, _)| *load);
+    queue(node, ask, &full, is_suspect).await
+}
+
+/// Queues at the least loaded engine whose queue has room.
+async fn queue(
+    node: &Rc<Node>,
+    ask: &Ask,
+    full: &[(u32, EndpointId)],
+    is_suspect: bool,
+) -> Result<Placed, NotStarted> {
+    let mut retry_ms = None;
+    for &(_, engine) in full {
+        let queue_ms = ask.class.queue_ms.min(ask.time_left(node.now()));
+        match admit(node, engine, gate_ask(node, ask, is_suspect, queue_ms)).await {
+            Admitted::Granted(admission) => {
+                let admission = Some(admission);
+                return Ok(Placed { engine, admission, reason: Reason::LeastLoaded });
+            }
+            Admitted::Refused(ms) => retry_ms = Some(ms),
+            Admitted::Full(_) | Admitted::Duplicate => {}
+        }
+        if node.now().since(ask.arrived) >= ask.class.queue_ms {
+            break;
         }
-        Admitted::Full(_) | Admitted::Duplicate => Err(Code::Overloaded.into()),
-        Admitted::Refused(ms) => Err(NotStarted { code: Code::Overloaded, retry_ms: Some(ms) }),
     }
+    Err(NotStarted { code: Code::Overloaded, retry_ms })
 }
 
 /// Asks for admission and waits for at most `patience`.
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -52,11 +52,10 @@
     let now = node.now();
     let (died, began_leaving) = {
         let cores = &mut *node.cores.borrow_mut();
-        let admitted = cores.gates.get(&id).map_or(0, |gate| gate.load());
         let Some(endpoint) = cores.endpoints.get_mut(id) else { return };
         let previous = endpoint.report.incarnation;
         let was_leaving = endpoint.is_leaving();
-        endpoint.stated(report, admitted, true, now);
+        endpoint.stated(report, true, now);
         cores.digest.observe(id, now);
         let died = (previous != 0 && previous != report.incarnation).then_some(previous);
         (died, endpoint.is_leaving() && !was_leaving)
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -60,6 +60,8 @@
     /// Gossip sent, in bytes per second; rounds are spaced out to stay within
     /// it.
     pub gossip_bytes: u64,
+    /// Interval between rounds that tell loads, in milliseconds.
+    pub load_ms: u64,
     /// Interval between probes of an endpoint, in milliseconds.
     pub probe_ms: u64,
     /// Interval between reads of the log, in milliseconds.
@@ -92,6 +94,7 @@
             gossip_ms: 500,
             gossip_fanout: 2,
             gossip_bytes: 2_000,
+            load_ms: 100,
             probe_ms: 500,
             follow_ms: 1_000,
             list_ms: 2_000,
@@ -123,6 +126,7 @@
         let intervals = [
             ("gossip_ms", limits.gossip_ms),
             ("gossip_bytes", limits.gossip_bytes),
+            ("load_ms", limits.load_ms),
             ("probe_ms", limits.probe_ms),
             ("follow_ms", limits.follow_ms),
             ("list_ms", limits.list_ms),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use crate::{
     codec::{Error, MAX_DATAGRAM_BYTES, Result, decode, encode},
-    message::{Blame, Gossip, Message, MessageKind, Statement, Transfer},
+    message::{Beat, Blame, Gossip, Load, Message, MessageKind, Statement, Transfer},
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -4,7 +4,7 @@
     endpoints::{EndpointId, EndpointInfo},
     gate::{Ask, AskId, Verdict},
     head::Fold,
-    members::{Heartbeat, RouterRef},
+    members::{Heartbeat, RouterRef, RunTag},
     once::{Answer, KeyId, KeyPrefix, NoteReply, SealReply},
     quarantine::Death,
 };
@@ -15,6 +15,8 @@
 pub enum Message {
     /// What the sender has heard lately.
     Gossip(Gossip),
+    /// Loads of engines, told between their admission homes.
+    Loads(Vec<Load>),
     /// Asks the admission home of an engine to let a request in.
     Ask {
         /// The engine.
@@ -104,12 +106,23 @@
 pub struct Gossip {
     /// The sender.
     pub from: RouterRef,
-    /// Heartbeats, the sender's own first.
+    /// Whole heartbeats: the sender's own, and a few that are new or changed.
     pub heartbeats: Vec<Heartbeat>,
+    /// Short heartbeats of routers that the receiver is likely to know.
+    pub beats: Vec<Beat>,
     /// States of endpoints.
     pub statements: Vec<Statement>,
 }
 
+/// A heartbeat of a router whose particulars are known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The run of the router.
+    pub run: RunTag,
+    /// Count of its heartbeats.
+    pub beat: u32,
+}
+
 /// The state of one endpoint, as its admission home sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Statement {
@@ -132,6 +145,17 @@
     pub leaving: bool,
 }
 
+/// The load that an admission home has let in at one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The engine.
+    pub engine: EndpointId,
+    /// Time since the home observed this, in milliseconds.
+    pub age_ms: u32,
+    /// Requests let in and not yet released.
+    pub admitted: u32,
+}
+
 /// The requests that were open when an endpoint died.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Blame {
@@ -144,8 +168,10 @@
 /// The kind of a message, for counting traffic.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum MessageKind {
-    /// Heartbeats and loads.
+    /// Heartbeats and states of endpoints.
     Gossip,
+    /// Loads of engines.
+    Loads,
     /// Admission.
     Admission,
     /// Witnessing of idempotency keys.
@@ -159,6 +185,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             MessageKind::Gossip => "gossip",
+            MessageKind::Loads => "loads",
             MessageKind::Admission => "admission",
             MessageKind::Witness => "witness",
             MessageKind::Notice => "notice",
@@ -171,6 +198,7 @@
     pub fn kind(&self) -> MessageKind {
         match self {
             Message::Gossip(_) => MessageKind::Gossip,
+            Message::Loads(_) => MessageKind::Loads,
             Message::Ask { .. } | Message::Verdict { .. } | Message::Release { .. } => {
                 MessageKind::Admission
             }
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -23,6 +23,7 @@
     gossip_round_trips: Message::Gossip(Gossip {
         from: RouterRef { id: 1, incarnation: u64::MAX },
         heartbeats: Vec::new(),
+        beats: Vec::new(),
         statements: Vec::new(),
     });
     verdict_round_trips: Message::Verdict {
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -128,10 +128,27 @@
   replay_pid=$!
 }
 
+# Routers of a larger fleet go on taking each other for alive, so that each
+# engine keeps one admission home.
+many_routers_stay_alive() {
+  scripts/fleet.sh stop $deployment
+  scripts/fleet.sh start $deployment 32 9 >/dev/null
+  : >"$run/replay.out"
+  {
+    . "$run/addresses"
+    for _ in 1 2 3 4 5 6; do
+      "$bin/mimosaledge" status --routers "$ops" | tee -a "$run/replay.out" |
+        grep -c ' routers 32 ' | grep -qx 32 || exit 1
+      sleep 1
+    done
+  } &
+  replay_pid=$!
+}
+
 scenarios=("$@")
 [ ${#scenarios[@]} -gt 0 ] || scenarios=(
   routers_die_and_freeze routers_roll engines_die_and_freeze platform_away all_together
-  stewards_freeze
+  stewards_freeze many_routers_stay_alive
 )
 for scenario in "${scenarios[@]}"; do
   if grep -q "^test $scenario\b" KNOWN-RED.txt; then
