Write shared start-up, JSON and log-page code once, and mend four tests

Start-up of the programs, JSON answers, control documents of the stand-ins and the reading of a log page stood two to four times.

Tests that rested on time now wait for what they need: the rolling restart counted answers within however long it took (95 of 100 on a busy machine) and now waits for 40 answers a router; the lost append is lost by count; the retention test waits until routers have read; the planned stop begins when its ten requests are open. The test that nothing is ordered during an outage could not fail, since nothing was left to order; it now brings a stray order in during the outage and wants it undone.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -17,9 +17,9 @@
     routers,
 };
 use mimosaledge_core::config::PresetName;
+use mimosaledge_platform::runtime;
 use mimosaledge_router::ops::Status;
 use serde::Serialize;
-use tokio::{runtime::Builder, task::LocalSet};
 
 mod flags {
     #![allow(missing_docs, unreachable_pub)]
@@ -77,8 +77,7 @@
 
 fn main() -> Result<ExitCode> {
     let flags = flags::Mimosaledge::from_env_or_exit();
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(flags))
+    runtime::block_on(run(flags))?
 }
 
 async fn run(flags: flags::Mimosaledge) -> Result<ExitCode> {
--- a/crates/cli/tests/publish.rs
+++ b/crates/cli/tests/publish.rs
@@ -44,6 +44,28 @@
     fleet.control_platform(&Control { keep_records: Some(count), ..Control::default() }).await;
 }
 
+/// Waits until every router has read the whole stream.
+async fn caught_up(fleet: &Fleet) {
+    let page: mimosaledge_platform::Page =
+        support::get(fleet.platform.addr, "/log/config?from=0").await;
+    for ops in ops(fleet) {
+        while fold(ops).await.next < page.next {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+/// Kills every router and starts one that knows nobody.
+async fn replace_all_by_one(fleet: &mut Fleet) {
+    let settings = fleet.routers[0].settings.clone();
+    for router in &mut fleet.routers {
+        router.member.kill().await;
+    }
+    fleet.routers.clear();
+    let settings = mimosaledge_router::Settings { seeds: Vec::new(), ..settings };
+    fleet.start_router(settings).await;
+}
+
 /// Fills the stream with records that change nothing.
 async fn fill_log(fleet: &Fleet, count: u64) {
     for n in 0..count {
@@ -82,23 +104,21 @@
 fn append_whose_answer_is_lost_is_accepted_once() {
     run(async {
         let fleet = Fleet::start(Plan::default()).await;
-        set_log(&fleet, Mode::LoseAnswers).await;
+        let lose = Control { lose_appends: Some(1), ..Control::default() };
+        fleet.control_platform(&lose).await;
         let publisher = publisher(&fleet, IN_FORCE);
-        let change = publisher.change(Wanted::Preset(PresetName::Peak), true);
-        let heal = async {
-            sleep(Duration::from_millis(2_500)).await;
-            set_log(&fleet, Mode::Up).await;
-        };
-        let (published, ()) = tokio::join!(change, heal);
-        let Published::Accepted { offset, .. } = published.unwrap() else { panic!("not accepted") };
-        // The operator who tries again on the old head is told so.
+        let published = publisher.change(Wanted::Preset(PresetName::Peak), true).await.unwrap();
+        let Published::Accepted { offset, .. } = published else { panic!("{published:?}") };
+        // The operator who appends the same change again does not undo or redo it.
         let again = Record {
             id: "again".to_owned(),
-            change: Change::Switch { parent: 0, preset: PresetName::Maintenance },
+            change: Change::Switch { parent: 0, preset: PresetName::Peak },
         };
         assert!(fleet.append(&again).await);
-        in_force(&fleet, offset).await;
-        assert_eq!(fold(fleet.routers[0].ops).await.head_offset(), Some(offset));
+        caught_up(&fleet).await;
+        for ops in ops(&fleet) {
+            assert_eq!(fold(ops).await.head_offset(), Some(offset));
+        }
     });
 }
 
@@ -218,15 +238,9 @@
         keep_records(&fleet, 20).await;
         for _ in 0..10 {
             fill_log(&fleet, 5).await;
-            sleep(Duration::from_millis(120)).await;
-        }
-        let settings = fleet.routers[0].settings.clone();
-        for router in &mut fleet.routers {
-            router.member.kill().await;
+            caught_up(&fleet).await;
         }
-        fleet.routers.clear();
-        let settings = mimosaledge_router::Settings { seeds: Vec::new(), ..settings };
-        fleet.start_router(settings).await;
+        replace_all_by_one(&mut fleet).await;
         in_force(&fleet, 1).await;
         assert_eq!(status(fleet.routers[0].ops).await.unwrap().preset.as_deref(), Some("peak"));
     });
@@ -244,13 +258,7 @@
         keep_records(&fleet, 100).await;
         set_log(&fleet, Mode::Up).await;
         wait_for_records(&fleet).await;
-        let settings = fleet.routers[0].settings.clone();
-        for router in &mut fleet.routers {
-            router.member.kill().await;
-        }
-        fleet.routers.clear();
-        let settings = mimosaledge_router::Settings { seeds: Vec::new(), ..settings };
-        fleet.start_router(settings).await;
+        replace_all_by_one(&mut fleet).await;
         in_force(&fleet, 1).await;
     });
 }
--- a/crates/core/src/head.rs
+++ b/crates/core/src/head.rs
@@ -41,6 +41,17 @@
     Ignored,
 }
 
+/// What a reader found in one answer of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PageNews {
+    /// Whether the head moved.
+    pub moved: bool,
+    /// Whether lost history was repaired from a snapshot.
+    pub restored: bool,
+    /// Offset of the newest snapshot read.
+    pub snapshot: Option<u64>,
+}
+
 /// The state of a reader: what it has read and the head that follows from it.
 ///
 /// The head only ever moves forward.
@@ -120,6 +131,24 @@
         self.adopt(&fold)
     }
 
+    /// Applies one answer of the log: `records`, of which the oldest that the
+    /// log still has is at `first`. Returns what was found in it.
+    pub fn apply_page<'a>(
+        &mut self,
+        first: u64,
+        records: impl Iterator<Item = (u64, &'a str)> + Clone,
+    ) -> PageNews {
+        let before = self.head_offset();
+        let restored = self.restore(first, records.clone()) == Verdict::Restored;
+        let mut snapshot = None;
+        for (offset, text) in records {
+            if self.apply(offset, text) == Verdict::Snapshot {
+                snapshot = Some(offset);
+            }
+        }
+        PageNews { moved: self.head_offset() != before, restored, snapshot }
+    }
+
     /// Takes over another reader's state if it is ahead.
     pub fn adopt(&mut self, other: &Fold) -> Verdict {
         let ahead = other.head_offset() >= self.head_offset();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logging;
 pub mod meter;
 pub mod pool;
+pub mod runtime;
 pub mod server;
 pub mod vms;
 
--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -18,6 +18,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
 use tokio::{
     net::TcpListener,
     sync::mpsc,
@@ -59,6 +60,14 @@
     response
 }
 
+/// Makes a response with a JSON document.
+pub fn json_reply(value: &(impl Serialize + ?Sized)) -> Response<ReplyBody> {
+    match serde_json::to_vec(value) {
+        Ok(body) => reply(200, body),
+        Err(err) => reply(500, err.to_string()),
+    }
+}
+
 /// Makes a streamed body and the sender that feeds it.
 ///
 /// At most `depth` pieces wait for the client; the sender learns that the
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -11,7 +11,7 @@
 };
 
 use eyre::{Result, WrapErr, eyre};
-use mimosaledge_platform::{Vm, VmKind};
+use mimosaledge_platform::{Vm, VmKind, incarnation::draw_incarnation, runtime};
 use mimosaledge_replay::{
     caller::Caller,
     driver::Driver,
@@ -23,7 +23,7 @@
     trace::Trace,
     workload::{Deployment, Volume, generate},
 };
-use tokio::{runtime::Builder, task::LocalSet, time};
+use tokio::time;
 
 mod flags {
     #![allow(missing_docs, unreachable_pub)]
@@ -96,14 +96,13 @@
 fn main() -> Result<ExitCode> {
     use flags::MimosaledgeReplayCmd as Cmd;
     let flags = flags::MimosaledgeReplay::from_env_or_exit();
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, async {
+    runtime::block_on(async {
         match flags.subcommand {
             Cmd::Generate(flags) => write_trace(&flags),
             Cmd::Run(flags) => run(&flags).await,
             Cmd::Latency(flags) => measure_latency(&flags).await,
         }
-    })
+    })?
 }
 
 fn write_trace(flags: &flags::Generate) -> Result<ExitCode> {
@@ -137,7 +136,7 @@
     let ops = parse_list(&flags.ops)?;
     let caller = Caller::new(parse_list(&flags.routers)?);
     let total = trace.events.len();
-    let run_id = mimosaledge_platform::incarnation::draw_incarnation();
+    let run_id = draw_incarnation();
     let driver = Driver::new(caller, trace, flags.speed.unwrap_or(1.0), run_id);
 
     let before = read_routers(&ops).await;
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -51,20 +51,17 @@
 }
 
 fn absorb_page(node: &Node, page: &Page) {
-    let before = node.cores.borrow().fold.head_offset();
-    {
+    let news = {
         let Cores { fold, newest_snapshot, .. } = &mut *node.cores.borrow_mut();
         let records = page.records.iter().map(|it| (it.offset, it.body.as_str()));
-        if fold.restore(page.first, records.clone()) == Verdict::Restored {
-            info!("follow: history was lost; restored the head from a snapshot");
-        }
-        for (offset, body) in records {
-            if fold.apply(offset, body) == Verdict::Snapshot {
-                *newest_snapshot = Some(offset);
-            }
-        }
+        let news = fold.apply_page(page.first, records);
+        *newest_snapshot = news.snapshot.or(*newest_snapshot);
+        news
+    };
+    if news.restored {
+        info!("follow: history was lost; restored the head from a snapshot");
     }
-    if node.cores.borrow().fold.head_offset() != before {
+    if news.moved {
         put_in_force(node);
     }
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -3,13 +3,8 @@
 use std::{path::PathBuf, rc::Rc};
 
 use eyre::Result;
-use mimosaledge_platform::logging;
+use mimosaledge_platform::{logging, runtime};
 use mimosaledge_router::{Node, Settings, Sockets, StopHandle};
-use tokio::{
-    runtime::Builder,
-    signal::unix::{SignalKind, signal},
-    task::LocalSet,
-};
 
 mod flags {
     #![allow(missing_docs, unreachable_pub)]
@@ -29,8 +24,7 @@
     let flags = flags::MimosaledgeRouter::from_env_or_exit();
     let settings = Settings::from_file(&flags.settings)?;
     logging::init(settings.log_level)?;
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    let result = LocalSet::new().block_on(&runtime, run(settings));
+    let result = runtime::block_on(run(settings))?;
     logging::flush();
     result
 }
@@ -39,14 +33,10 @@
     let sockets = Sockets::bind(&settings).await?;
     let node = Node::new(settings, sockets.peer)?;
     let stop = StopHandle::new(Rc::clone(&node));
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::task::spawn_local(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+        if runtime::stop_requested().await.is_ok() {
+            stop.begin();
         }
-        stop.begin();
     });
     node.run(sockets.http, sockets.transfers, sockets.ops).await;
     Ok(())
--- a/crates/router/src/ops.rs
+++ b/crates/router/src/ops.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Method, Request, Response, body::Incoming};
 use mimosaledge_core::{Name, endpoints::EndpointId};
-use mimosaledge_platform::server::{self, ReplyBody, reply};
+use mimosaledge_platform::server::{self, ReplyBody, json_reply, reply};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
@@ -60,8 +60,8 @@
 async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<ReplyBody> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/metrics") => metrics(&node),
-        (&Method::GET, "/status") => json(&status(&node)),
-        (&Method::GET, "/head") => json(&node.cores.borrow().fold),
+        (&Method::GET, "/status") => json_reply(&status(&node)),
+        (&Method::GET, "/head") => json_reply(&node.cores.borrow().fold),
         (&Method::POST, "/drain") => {
             drain::begin(&node);
             reply(200, "")
@@ -71,13 +71,6 @@
     }
 }
 
-fn json(value: &impl Serialize) -> Response<ReplyBody> {
-    match serde_json::to_vec(value) {
-        Ok(body) => reply(200, body),
-        Err(err) => reply(500, err.to_string()),
-    }
-}
-
 fn metrics(node: &Node) -> Response<ReplyBody> {
     let meters = [("platform", &node.platform_meter), ("probe", &node.probe_meter)];
     for (kind, meter) in meters {
--- a/crates/router/tests/crash.rs
+++ b/crates/router/tests/crash.rs
@@ -4,7 +4,6 @@
 
 use mimosaledge_standin::engine::Control;
 use support::{Answer, Fleet, Plan, is_whole, run};
-use tokio::time::Duration;
 
 const MARKER: &str = "4242424242";
 
@@ -36,7 +35,6 @@
         let mut last = None;
         for n in 0..12 {
             last = Some(send_poison(&fleet, n % 3).await);
-            tokio::time::sleep(Duration::from_millis(20)).await;
         }
         assert!(dead(&fleet) <= 2, "{} engines died", dead(&fleet));
         let last = last.unwrap();
@@ -65,7 +63,7 @@
         let names: Vec<String> = (0..30).map(|n| format!("innocent-{n}")).collect();
         let innocent = names.iter().enumerate().map(|(n, name)| fleet.chat(n % 3, name, 60));
         let poison = async {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            fleet.until(fleet.routers[0].ops, |it| it.open >= 5).await;
             for n in 0..4 {
                 send_poison(&fleet, n % 3).await;
             }
--- a/crates/router/tests/leaving.rs
+++ b/crates/router/tests/leaving.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use mimosaledge_platform::{http::Call, pool::Pool};
 use mimosaledge_standin::engine::{Control, Statistics};
@@ -77,25 +77,29 @@
     });
 }
 
+/// Answers that all callers together must get while one router is rolled.
+const ANSWERS_A_ROUTER: u32 = 40;
+
+/// What the callers of a test share.
+struct Load {
+    routers: Vec<SocketAddr>,
+    answered: Cell<u32>,
+    stop: Cell<bool>,
+}
+
 /// A caller that follows the locate protocol until it is told to stop.
-async fn call_until(
-    stop: Rc<Cell<bool>>,
-    fleet: Rc<Vec<std::net::SocketAddr>>,
-    name: usize,
-) -> u32 {
+async fn call_until_stopped(load: Rc<Load>, name: usize) {
     let pool = Pool::new(Duration::from_secs(5));
-    let mut answered = 0;
-    while !stop.get() {
-        let chat = format!("caller-{name}-{answered}");
-        let answer = ask_located(&pool, &fleet, &chat).await;
+    while !load.stop.get() {
+        let chat = format!("caller-{name}-{}", load.answered.get());
+        let answer = ask_located(&pool, &load.routers, &chat).await;
         assert!(is_whole(&answer, 10), "{answer:?}");
-        answered += 1;
+        load.answered.set(load.answered.get() + 1);
     }
-    answered
 }
 
 /// Asks any router that answers which one to use, and uses it at once.
-async fn ask_located(pool: &Pool, routers: &[std::net::SocketAddr], chat: &str) -> Answer {
+async fn ask_located(pool: &Pool, routers: &[SocketAddr], chat: &str) -> Answer {
     for router in routers {
         let call = Call::get(*router, format!("/locate?workspace=w1&chat={chat}"));
         let Ok(body) = call.send_ok().await else { continue };
@@ -112,14 +116,18 @@
 fn rolling_every_router_under_load_cuts_and_refuses_nothing() {
     run(async {
         let mut fleet = Fleet::start(Plan { routers: 4, ..Plan::default() }).await;
-        let stop = Rc::new(Cell::new(false));
-        let addrs = Rc::new(fleet.routers.iter().map(|it| it.member.addr).collect::<Vec<_>>());
+        let load = Rc::new(Load {
+            routers: fleet.routers.iter().map(|it| it.member.addr).collect(),
+            answered: Cell::new(0),
+            stop: Cell::new(false),
+        });
         let mut callers = JoinSet::new();
         for name in 0..8 {
-            callers.spawn_local(call_until(Rc::clone(&stop), Rc::clone(&addrs), name));
+            callers.spawn_local(call_until_stopped(Rc::clone(&load), name));
         }
         // The last router stays up to the end, so that some address answers.
         for at in 0..3 {
+            let before = load.answered.get();
             fleet.routers[at].stop.begin();
             while status(fleet.routers[at].ops).await.is_some() {
                 tokio::time::sleep(Duration::from_millis(10)).await;
@@ -128,13 +136,14 @@
             fleet.start_router(settings).await;
             let started: &Router = fleet.routers.last().unwrap();
             fleet.until(started.ops, |it| it.state == "serving").await;
+            while load.answered.get() < before + ANSWERS_A_ROUTER {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
         }
-        stop.set(true);
-        let mut answered = 0;
-        while let Some(count) = callers.join_next().await {
-            answered += count.unwrap();
+        load.stop.set(true);
+        while let Some(ended) = callers.join_next().await {
+            ended.unwrap();
         }
-        assert!(answered > 100, "{answered} requests are too few to prove anything");
     });
 }
 
--- a/crates/router/tests/once_faults.rs
+++ b/crates/router/tests/once_faults.rs
@@ -227,7 +227,7 @@
         let fleet = Fleet::start(Plan::default()).await;
         let mut keys = Vec::new();
         let prefix = fleet.prefix(0).await;
-        fleet.control_services(&Control { work_ms: Some(100), ..Control::default() }).await;
+        fleet.control_services(&Control { work_ms: Some(500), ..Control::default() }).await;
         for n in 0..10 {
             keys.push(format!("{prefix}.{n}"));
         }
@@ -245,7 +245,7 @@
                 support::send(&pool, addr, &headers, "{}").await.unwrap().code
             });
         }
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        fleet.until(fleet.routers[0].ops, |it| it.open == 10).await;
         fleet.routers[0].stop.begin();
         while let Some(code) = runs.join_next().await {
             assert_eq!(code.unwrap(), 1000);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -15,7 +15,7 @@
 };
 use mimosaledge_platform::{
     http::Call,
-    server::{ReplyBody, channel_body, read_body, reply, serve},
+    server::{ReplyBody, channel_body, json_reply, read_body, reply, serve},
 };
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -35,7 +35,7 @@
     cache::PrefixCache,
     events::CacheEvents,
 };
-use crate::reply::{json, query};
+use crate::reply::{query, take_json};
 
 const BODY_LIMIT: usize = 4 << 20;
 /// Pieces of an answer that wait for a slow reader.
@@ -174,13 +174,13 @@
             state.borrow_mut().batch.cancel(id);
             reply(200, "")
         }
-        (&Method::GET, "/load") => json(&state.borrow_mut().load_report(Instant::now())),
+        (&Method::GET, "/load") => json_reply(&state.borrow_mut().load_report(Instant::now())),
         (&Method::GET, "/events") => {
             let after = query(request.uri().query(), "after").and_then(|it| it.parse().ok());
-            json(&state.borrow().events.shown(after.unwrap_or(0), Instant::now()))
+            json_reply(&state.borrow().events.shown(after.unwrap_or(0), Instant::now()))
         }
-        (&Method::GET, "/state") => json(&state.borrow().orders),
-        (&Method::GET, "/statistics") => json(&state.borrow().batch.statistics()),
+        (&Method::GET, "/state") => json_reply(&state.borrow().orders),
+        (&Method::GET, "/statistics") => json_reply(&state.borrow().batch.statistics()),
         (&Method::POST, "/orders") => take_order(state, request).await,
         (&Method::POST, "/control") => control(state, request).await,
         _ => reply(404, "unknown path"),
@@ -319,18 +319,13 @@
 }
 
 async fn control(state: Shared, request: Request<Incoming>) -> Response<ReplyBody> {
-    let Ok(body) = read_body(request.into_body(), BODY_LIMIT).await else {
-        return reply(400, "broken body");
-    };
-    let control: Control = match serde_json::from_slice(&body) {
-        Ok(control) => control,
-        Err(err) => return reply(400, err.to_string()),
-    };
-    let mut state = state.borrow_mut();
-    state.faults.extend(control.next);
-    state.crash_on = control.crash_on.or(state.crash_on.take());
-    state.leaving = control.leaving.unwrap_or(state.leaving);
-    state.settings.step_ms = control.step_ms.unwrap_or(state.settings.step_ms);
-    state.lose_orders = control.lose_orders.unwrap_or(state.lose_orders);
-    reply(200, "")
+    take_json(request, |control: Control| {
+        let mut state = state.borrow_mut();
+        state.faults.extend(control.next);
+        state.crash_on = control.crash_on.or(state.crash_on.take());
+        state.leaving = control.leaving.unwrap_or(state.leaving);
+        state.settings.step_ms = control.step_ms.unwrap_or(state.settings.step_ms);
+        state.lose_orders = control.lose_orders.unwrap_or(state.lose_orders);
+    })
+    .await
 }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,14 +3,9 @@
 use std::{fs, net::SocketAddr, path::PathBuf};
 
 use eyre::{Context, Result};
-use mimosaledge_platform::incarnation::draw_incarnation;
+use mimosaledge_platform::{incarnation::draw_incarnation, runtime};
 use mimosaledge_standin::{engine, platform, service};
-use tokio::{
-    net::TcpListener,
-    runtime::Builder,
-    signal::unix::{SignalKind, signal},
-    task::LocalSet,
-};
+use tokio::net::TcpListener;
 
 mod flags {
     #![allow(missing_docs, unreachable_pub)]
@@ -61,14 +56,12 @@
 
 fn main() -> Result<()> {
     let flags = flags::MimosaledgeStandin::from_env_or_exit();
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, async {
-        let mut stop = signal(SignalKind::terminate())?;
+    runtime::block_on(async {
         tokio::select! {
             result = serve(flags.subcommand) => result,
-            _ = stop.recv() => Ok(()),
+            stopped = runtime::stop_requested() => Ok(stopped?),
         }
-    })
+    })?
 }
 
 async fn serve(command: flags::MimosaledgeStandinCmd) -> Result<()> {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -13,14 +13,14 @@
 };
 use mimosaledge_platform::{
     Vm,
-    server::{ReplyBody, read_body, reply, serve},
+    server::{ReplyBody, json_reply, read_body, reply, serve},
 };
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpListener, time::Instant};
 
 pub use self::weights::WeightStatistics;
 use self::{log::LogService, vms::LaggingList, weights::WeightStore};
-use crate::reply::{json, query};
+use crate::reply::{query, take_json};
 
 const BODY_LIMIT: usize = 4 << 20;
 
@@ -35,8 +35,6 @@
     Down,
     /// Never answers.
     Hang,
-    /// Carries calls out and breaks the connection instead of answering.
-    LoseAnswers,
 }
 
 /// Changes to the running platform.
@@ -45,6 +43,8 @@
 pub struct Control {
     /// Behaviour of the log.
     pub log: Option<Mode>,
+    /// Appends that are carried out but not answered.
+    pub lose_appends: Option<u32>,
     /// Behaviour of the VM list.
     pub list: Option<Mode>,
     /// Lag of the VM list, in milliseconds.
@@ -89,9 +89,19 @@
     list: LaggingList,
     weights: WeightStore,
     log_mode: Mode,
+    lose_appends: u32,
     list_mode: Mode,
 }
 
+impl State {
+    /// Returns whether the answer to the present append is lost.
+    fn lose_append(&mut self) -> bool {
+        let lose = self.lose_appends > 0;
+        self.lose_appends = self.lose_appends.saturating_sub(1);
+        lose
+    }
+}
+
 /// Serves on `listener`.
 pub async fn run(listener: TcpListener, settings: Settings) {
     let state = State {
@@ -99,6 +109,7 @@
         list: LaggingList::new(settings.vms, settings.list_lag_ms),
         weights: WeightStore::new(settings.weight_mib_per_s),
         log_mode: Mode::Up,
+        lose_appends: 0,
         list_mode: Mode::Up,
     };
     let state = Rc::new(RefCell::new(state));
@@ -117,7 +128,7 @@
             guarded(mode, async move { show_list(&state, &request) }).await
         }
         (&Method::POST, "/weights") => fetch_weights(state, &request).await,
-        (&Method::GET, "/weights") => json(&state.borrow().weights.statistics()),
+        (&Method::GET, "/weights") => json_reply(&state.borrow().weights.statistics()),
         (&Method::POST, "/control") => control(state, request).await,
         _ => reply(404, "unknown path"),
     }
@@ -129,7 +140,7 @@
     let (tag, vms) = state.list.shown(Instant::now());
     let tag = format!("\"{tag}\"");
     let known = request.headers().get(IF_NONE_MATCH).is_some_and(|it| *it == tag);
-    let mut response = if known { reply(304, "") } else { json(vms) };
+    let mut response = if known { reply(304, "") } else { json_reply(vms) };
     if let Ok(value) = tag.parse() {
         response.headers_mut().insert(ETAG, value);
     }
@@ -144,10 +155,6 @@
         Mode::Up => answer.await,
         Mode::Down => reply(503, "outage"),
         Mode::Hang => std::future::pending().await,
-        Mode::LoseAnswers => {
-            answer.await;
-            std::future::pending().await
-        }
     }
 }
 
@@ -158,16 +165,18 @@
 ) -> Response<ReplyBody> {
     if request.method() == Method::GET {
         let from = query(request.uri().query(), "from").and_then(|it| it.parse().ok());
-        return json(&state.borrow().log.read(stream, from.unwrap_or(0)));
+        return json_reply(&state.borrow().log.read(stream, from.unwrap_or(0)));
     }
     let Ok(body) = read_body(request.into_body(), BODY_LIMIT).await else {
         return reply(400, "broken body");
     };
     let text = String::from_utf8_lossy(&body).into_owned();
-    match state.borrow_mut().log.append(stream, text, Instant::now()) {
-        Some(offset) => reply(200, format!("{{\"offset\":{offset}}}")),
-        None => reply(429, "append rate exceeded"),
+    let appended = state.borrow_mut().log.append(stream, text, Instant::now());
+    let Some(offset) = appended else { return reply(429, "append rate exceeded") };
+    if state.borrow_mut().lose_append() {
+        return std::future::pending().await;
     }
+    reply(200, format!("{{\"offset\":{offset}}}"))
 }
 
 async fn fetch_weights(
@@ -181,17 +190,13 @@
 }
 
 async fn control(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<ReplyBody> {
-    let Ok(body) = read_body(request.into_body(), BODY_LIMIT).await else {
-        return reply(400, "broken body");
-    };
-    let control: Control = match serde_json::from_slice(&body) {
-        Ok(control) => control,
-        Err(err) => return reply(400, err.to_string()),
-    };
-    let mut state = state.borrow_mut();
-    state.log_mode = control.log.unwrap_or(state.log_mode);
-    state.list_mode = control.list.unwrap_or(state.list_mode);
-    state.log.set_limits(control.keep_records, control.appends_per_s);
-    state.list.set(control.vms, control.list_lag_ms, Instant::now());
-    reply(200, "")
+    take_json(request, |control: Control| {
+        let mut state = state.borrow_mut();
+        state.log_mode = control.log.unwrap_or(state.log_mode);
+        state.lose_appends = control.lose_appends.unwrap_or(state.lose_appends);
+        state.list_mode = control.list.unwrap_or(state.list_mode);
+        state.log.set_limits(control.keep_records, control.appends_per_s);
+        state.list.set(control.vms, control.list_lag_ms, Instant::now());
+    })
+    .await
 }
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -1,14 +1,26 @@
-//! Answers that all stand-ins share.
+//! What all stand-ins do with requests.
 
-use hyper::Response;
-use mimosaledge_platform::server::{ReplyBody, reply};
-use serde::Serialize;
+use hyper::{Request, Response, body::Incoming};
+use mimosaledge_platform::server::{ReplyBody, read_body, reply};
+use serde::de::DeserializeOwned;
 
-/// Answers with a JSON document.
-pub(crate) fn json(value: &(impl Serialize + ?Sized)) -> Response<ReplyBody> {
-    match serde_json::to_vec(value) {
-        Ok(body) => reply(200, body),
-        Err(err) => reply(500, err.to_string()),
+/// Largest control document, in bytes.
+const BODY_LIMIT: usize = 4 << 20;
+
+/// Reads a JSON document and answers with what `apply` makes of it.
+pub(crate) async fn take_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+    apply: impl FnOnce(T),
+) -> Response<ReplyBody> {
+    let Ok(body) = read_body(request.into_body(), BODY_LIMIT).await else {
+        return reply(400, "broken body");
+    };
+    match serde_json::from_slice(&body) {
+        Ok(document) => {
+            apply(document);
+            reply(200, "")
+        }
+        Err(err) => reply(400, err.to_string()),
     }
 }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -9,11 +9,13 @@
 
 use hyper::{Method, Request, Response, body::Incoming};
 use mimosaledge_core::endpoints::LoadReport;
-use mimosaledge_platform::server::{ReplyBody, read_body, reply, serve};
+use mimosaledge_platform::server::{
+    Aborted, ReplyBody, channel_body, json_reply, read_body, reply, serve,
+};
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpListener, time};
 
-use crate::reply::json;
+use crate::reply::take_json;
 
 const BODY_LIMIT: usize = 1 << 20;
 
@@ -82,8 +84,8 @@
 async fn handle(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<ReplyBody> {
     match (request.method(), request.uri().path()) {
         (&Method::POST, "/run") => execute(state, request).await,
-        (&Method::GET, "/load") => json(&state.borrow().load_report()),
-        (&Method::GET, "/runs") => json(&state.borrow().runs),
+        (&Method::GET, "/load") => json_reply(&state.borrow().load_report()),
+        (&Method::GET, "/runs") => json_reply(&state.borrow().runs),
         (&Method::POST, "/control") => control(state, request).await,
         _ => reply(404, "unknown path"),
     }
@@ -101,18 +103,13 @@
 }
 
 async fn control(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<ReplyBody> {
-    let Ok(body) = read_body(request.into_body(), BODY_LIMIT).await else {
-        return reply(400, "broken body");
-    };
-    let control: Control = match serde_json::from_slice(&body) {
-        Ok(control) => control,
-        Err(err) => return reply(400, err.to_string()),
-    };
-    let mut state = state.borrow_mut();
-    state.faults.extend(control.next);
-    state.work_ms = control.work_ms.unwrap_or(state.work_ms);
-    state.leaving = control.leaving.unwrap_or(state.leaving);
-    reply(200, "")
+    take_json(request, |control: Control| {
+        let mut state = state.borrow_mut();
+        state.faults.extend(control.next);
+        state.work_ms = control.work_ms.unwrap_or(state.work_ms);
+        state.leaving = control.leaving.unwrap_or(state.leaving);
+    })
+    .await
 }
 
 async fn execute(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<ReplyBody> {
@@ -177,9 +174,9 @@
 
 /// A response whose body fails at once, so that the connection breaks.
 fn abort() -> Response<ReplyBody> {
-    let (sender, body) = mimosaledge_platform::server::channel_body(1);
+    let (sender, body) = channel_body(1);
     // The channel has room for the one piece.
-    let _ = sender.try_send(Err(mimosaledge_platform::server::Aborted));
+    let _ = sender.try_send(Err(Aborted));
     let mut response = Response::new(body);
     response.headers_mut().insert("content-length", hyper::header::HeaderValue::from_static("1"));
     response
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -3,13 +3,8 @@
 use std::path::PathBuf;
 
 use eyre::Result;
-use mimosaledge_platform::{incarnation::draw_incarnation, logging};
+use mimosaledge_platform::{incarnation::draw_incarnation, logging, runtime};
 use mimosaledge_steward::{Settings, Steward};
-use tokio::{
-    runtime::Builder,
-    signal::unix::{SignalKind, signal},
-    task::LocalSet,
-};
 
 mod flags {
     #![allow(missing_docs, unreachable_pub)]
@@ -29,15 +24,12 @@
     let flags = flags::MimosaledgeSteward::from_env_or_exit();
     let settings = Settings::from_file(&flags.settings)?;
     logging::init(settings.log_level)?;
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    let result = LocalSet::new().block_on(&runtime, async {
-        let mut terminate = signal(SignalKind::terminate())?;
+    let result = runtime::block_on(async {
         tokio::select! {
-            () = Steward::new(settings, draw_incarnation()).run() => {}
-            _ = terminate.recv() => {}
+            () = Steward::new(settings, draw_incarnation()).run() => Ok(()),
+            stopped = runtime::stop_requested() => stopped,
         }
-        Ok(())
-    });
+    })?;
     logging::flush();
-    result
+    Ok(result?)
 }
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -101,10 +101,7 @@
     async fn read_config(&mut self) {
         if let Ok(page) = self.log.read(CONFIG_STREAM, self.fold.next).await {
             let records = page.records.iter().map(|it| (it.offset, it.body.as_str()));
-            self.fold.restore(page.first, records.clone());
-            for (offset, body) in records {
-                self.fold.apply(offset, body);
-            }
+            self.fold.apply_page(page.first, records);
         }
         if let Some(head) = &self.fold.head {
             self.in_force.follow(head);
--- a/crates/steward/tests/orders.rs
+++ b/crates/steward/tests/orders.rs
@@ -201,16 +201,15 @@
 }
 
 #[test]
-fn nothing_is_ordered_while_the_log_is_away() {
+fn engines_converge_after_an_outage_of_the_log() {
     run(async {
-        let mut bench = Bench::start(1).await;
+        let mut bench = Bench::start(2).await;
         bench.publish(2).await;
         bench.converged(2).await;
-        let fetches = bench.weights().await.fetches;
-        bench.control(&Control { log: Some(Mode::Down), ..Control::default() }).await;
-        // The lease runs out without renewals; a restart of the log ends the wait.
-        sleep(Duration::from_millis(500)).await;
-        assert_eq!(bench.weights().await.fetches, fetches);
+        bench.control(&Control { log: Some(Mode::Hang), ..Control::default() }).await;
+        // Meanwhile an engine that checks nobody takes somebody's order.
+        let stray = br#"{"fence":0,"model":"m","version":1,"weight_mib":1}"#;
+        post(bench.engines[0], "/orders", stray.to_vec()).await;
         bench.control(&Control { log: Some(Mode::Up), ..Control::default() }).await;
         bench.publish(3).await;
         bench.converged(3).await;
