Tell a new head to a few peers instead of to all

Routers read the log themselves each second; only those that cannot need to be told, and gossip does that.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -66,7 +66,8 @@
     }
 }
 
-/// Puts the accepted head in force and tells every peer.
+/// Puts the accepted head in force and tells a few peers; the others read it
+/// from the log themselves.
 pub(crate) fn put_in_force(node: &Node) {
     {
         let cores = &mut *node.cores.borrow_mut();
@@ -80,7 +81,7 @@
             error!("follow: head {offset} cannot be put in force: {err}");
         }
     }
-    gossip::tell_all(node);
+    gossip::tell(node);
 }
 
 /// Restates the head well before the log drops the records it came from.
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -128,7 +128,7 @@
 
 /// Tells a few peers what this router has heard lately; returns the bytes that
 /// it took.
-fn tell(node: &Node) -> u64 {
+pub(crate) fn tell(node: &Node) -> u64 {
     let now = node.now();
     beat(node, now);
     let mut sent = 0;
