--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -1,6 +1,7 @@
 //! The `mimosaledge-replay` program.
 
 use std::{
+    collections::{BTreeMap, HashMap},
     fs,
     io::{self, IsTerminal, Write},
     net::SocketAddr,
@@ -11,6 +12,7 @@
 };
 
 use eyre::{Result, WrapErr, eyre};
+use mimosaledge_core::endpoints::EndpointId;
 use mimosaledge_platform::{Vm, VmKind, incarnation::draw_incarnation, runtime};
 use mimosaledge_replay::{
     caller::Caller,
@@ -150,6 +152,7 @@
     let after = read_routers(&ops).await;
 
     let mut measures = Measures::from_tally(&tally, &read_runs(&vms).await);
+    measures.by_engine = name_engines(&measures.by_engine, &vms);
     measures.skew = Skew::from_samples(&samples, outcomes.load_bound());
     measures.routers = RouterCost::from_totals(&before, &after, start.elapsed());
     if let Some(path) = &flags.plot {
@@ -166,6 +169,14 @@
     Ok(if missed.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(MISSED) })
 }
 
+/// Replaces the identifiers of place hints by the engines' names.
+fn name_engines(counts: &BTreeMap<String, u64>, vms: &[Vm]) -> BTreeMap<String, u64> {
+    let id = |vm: &Vm| format!("{:08x}", EndpointId::from_name(&vm.name).0);
+    let names: HashMap<String, &Vm> = vms.iter().map(|vm| (id(vm), vm)).collect();
+    let name = |id: &String| names.get(id).map_or_else(|| id.clone(), |vm| vm.name.to_string());
+    counts.iter().map(|(id, count)| (name(id), *count)).collect()
+}
+
 async fn show_progress(driver: Rc<Driver>, total: usize) {
     if !io::stderr().is_terminal() {
         return;
