--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -18,6 +18,10 @@
 /// Routers up to which [`DEAD_AFTER_MS`] holds; a larger fleet's gossip takes
 /// proportionally longer to come round.
 const SMALL_FLEET: u64 = 32;
+/// Time beyond [`DEAD_AFTER_MS`] for which a listed router counts as alive before
+/// it was first heard, in milliseconds: gossip may take that long to come round
+/// when a whole fleet starts.
+const INTRODUCTION_MS: u64 = 5_000;
 /// How long a router that did not answer is passed over, in milliseconds.
 const SUSPECT_MS: u64 = 1_000;
 /// Silence after which a router is forgotten, in milliseconds.
@@ -159,7 +163,7 @@
     /// Takes in a router that the VM list names but that was never heard of.
     pub fn introduce(&mut self, heartbeat: Heartbeat, now: Millis) {
         if !self.table.contains_key(&heartbeat.router.id) {
-            self.hear(heartbeat, now);
+            self.hear(heartbeat, now + INTRODUCTION_MS);
         }
     }
 
--- a/crates/core/tests/cores.rs
+++ b/crates/core/tests/cores.rs
@@ -110,6 +110,18 @@
     assert_eq!(members.witness(1, Millis(0)), None);
 }
 
+#[test]
+fn listed_router_counts_as_alive_until_gossip_has_come_round() {
+    let mut members = Members::new(heartbeat(0, 1, 0), Millis(0));
+    members.introduce(heartbeat(1, 0, 0), Millis(0));
+    assert_eq!(members.peers(Millis(7_900)).count(), 1);
+    assert_eq!(members.peers(Millis(8_000)).count(), 0);
+    // Its first heartbeat replaces the introduction at once.
+    members.introduce(heartbeat(2, 0, 0), Millis(0));
+    members.hear(heartbeat(2, 1, 0), Millis(100));
+    assert_eq!(members.get(2).unwrap().heard_at, Millis(100));
+}
+
 fn endpoints() -> (Endpoints, EndpointId) {
     let mut endpoints = Endpoints::new().unwrap();
     let info = EndpointInfo {
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -26,12 +26,23 @@
 /// Lateness of a round from which this process counts as paused, in
 /// milliseconds.
 const PAUSED_MS: u64 = 1_000;
-/// Whole heartbeats in one datagram.
-const MAX_HEARTBEATS: usize = 4;
-/// Short heartbeats in one datagram.
+/// Time after the start during which the byte rate does not hold, in
+/// milliseconds.
+const STARTING_MS: u64 = 10_000;
+/// Whole heartbeats of others in one datagram; about 44 bytes each.
+const MAX_HEARTBEATS: usize = 11;
+/// Times that a whole heartbeat is told after it changed; later the short one
+/// will do.
+const TELL_WHOLE: u32 = 6;
+/// Short heartbeats in one datagram, about 8 bytes each, if it has no more than
+/// [`FEW_HEARTBEATS`] whole ones.
 const MAX_BEATS: usize = 60;
-/// Endpoint states in one datagram.
-const MAX_STATEMENTS: usize = 32;
+/// Short heartbeats in a datagram with more whole ones.
+const SOME_BEATS: usize = 20;
+/// Whole heartbeats that leave room for [`MAX_BEATS`].
+const FEW_HEARTBEATS: usize = 4;
+/// Endpoint states in one datagram; about 24 bytes each.
+const MAX_STATEMENTS: usize = 24;
 /// Age from which a statement is not passed on, in milliseconds.
 const MAX_AGE_MS: u64 = 5_000;
 
@@ -77,14 +88,19 @@
             .collect()
     }
 
-    /// Returns the whole heartbeats least often told, and counts them as told.
+    /// Returns the whole heartbeats that are new or changed, least often told
+    /// first, and counts them as told.
     fn take_heartbeats(&mut self, known: &[Heartbeat]) -> Vec<Heartbeat> {
-        take_least_told(&mut self.told_whole, known, MAX_HEARTBEATS - 1)
+        let told = &mut self.told_whole;
+        let is_new =
+            |it: &&Heartbeat| told.get(&it.router.id).is_none_or(|count| *count < TELL_WHOLE);
+        let new: Vec<Heartbeat> = known.iter().filter(is_new).copied().collect();
+        take_least_told(told, &new, MAX_HEARTBEATS)
     }
 
     /// Returns the counts least often told, and counts them as told.
-    fn take_beats(&mut self, known: &[Heartbeat]) -> Vec<Beat> {
-        let taken = take_least_told(&mut self.told_beats, known, MAX_BEATS);
+    fn take_beats(&mut self, known: &[Heartbeat], count: usize) -> Vec<Beat> {
+        let taken = take_least_told(&mut self.told_beats, known, count);
         taken.iter().map(|it| Beat { run: it.router.tag(), beat: it.beat }).collect()
     }
 }
@@ -120,9 +136,13 @@
 }
 
 /// Returns the time until the next round: datagrams grow with the fleet up to
-/// their limit, and rounds are spaced out to stay within the byte rate.
+/// their limit, and rounds are spaced out to stay within the byte rate. A router
+/// that has just started must make itself known, and does not wait.
 fn round_ms(node: &Node, sent: u64) -> u64 {
     let limits = &node.settings.limits;
+    if node.now().0 < STARTING_MS {
+        return limits.gossip_ms;
+    }
     limits.gossip_ms.max(sent * 1_000 / limits.gossip_bytes)
 }
 
@@ -176,10 +196,13 @@
 
 fn make_gossip(cores: &mut Cores, now: Millis) -> Gossip {
     let own = cores.members.own_heartbeat();
-    let others: Vec<Heartbeat> = cores.members.peers(now).map(|it| it.heartbeat).collect();
+    // Routers that are listed but were never heard have nothing to be told of.
+    let peers = cores.members.peers(now).map(|it| it.heartbeat);
+    let others: Vec<Heartbeat> = peers.filter(|it| it.router.incarnation != 0).collect();
     let mut heartbeats = vec![own];
     heartbeats.extend(cores.digest.take_heartbeats(&others));
-    let beats = cores.digest.take_beats(&others);
+    let room = if heartbeats.len() <= FEW_HEARTBEATS { MAX_BEATS } else { SOME_BEATS };
+    let beats = cores.digest.take_beats(&others, room);
     let young = cores.digest.take_endpoints(now);
     let statements = young
         .into_iter()
