Do not make a starting router known before gossip does

The fault below it stays open and is listed in docs/PROOFS.md: nothing but gossip's own time holds a starting router back from being located.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -165,18 +165,12 @@
 /// Follows the VM list until it is dropped.
 pub(crate) async fn follow_list(node: Rc<Node>) {
     let mut ticks = ticker(node.settings.limits.list_ms);
-    let mut is_first = true;
     loop {
         ticks.tick().await;
         // During an outage the last list stays in use.
-        let Ok(Some(vms)) = node.list.changes().await else { continue };
-        absorb_list(&node, vms);
-        if is_first {
-            // A router that has just started would wait long for gossip to come
-            // round in a large fleet.
-            gossip::tell_all(&node);
+        if let Ok(Some(vms)) = node.list.changes().await {
+            absorb_list(&node, vms);
         }
-        is_first = false;
     }
 }
 
