--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -17,7 +17,7 @@
     routers,
 };
 use mimosaledge_core::config::PresetName;
-use mimosaledge_platform::runtime;
+use mimosaledge_net::runtime;
 use mimosaledge_router::ops::Status;
 use serde::Serialize;
 
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -8,7 +8,7 @@
     head::{Fold, Verdict},
     record::{Change, Record},
 };
-use mimosaledge_platform::{
+use mimosaledge_net::{
     Category, HttpLog, Log, Meter, incarnation::draw_incarnation, log::CONFIG_STREAM,
 };
 use serde::Serialize;
--- a/crates/cli/src/routers.rs
+++ b/crates/cli/src/routers.rs
@@ -4,7 +4,7 @@
 
 use eyre::{Result, WrapErr, eyre};
 use mimosaledge_core::head::Fold;
-use mimosaledge_platform::http::Call;
+use mimosaledge_net::http::Call;
 use mimosaledge_router::ops::Status;
 
 /// Parses a comma-separated list of addresses.
--- a/crates/cli/tests/publish.rs
+++ b/crates/cli/tests/publish.rs
@@ -46,8 +46,7 @@
 
 /// Waits until every router has read the whole stream.
 async fn caught_up(fleet: &Fleet) {
-    let page: mimosaledge_platform::Page =
-        support::get(fleet.platform.addr, "/log/config?from=0").await;
+    let page: mimosaledge_net::Page = support::get(fleet.platform.addr, "/log/config?from=0").await;
     for ops in ops(fleet) {
         while fold(ops).await.next < page.next {
             sleep(Duration::from_millis(10)).await;
@@ -267,7 +266,7 @@
 async fn wait_for_records(fleet: &Fleet) {
     let started = Instant::now();
     loop {
-        let page: mimosaledge_platform::Page =
+        let page: mimosaledge_net::Page =
             support::get(fleet.platform.addr, "/log/config?from=0").await;
         if !page.records.is_empty() {
             return;
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,167 @@
+//! The endpoints as the request path sees them.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+};
+
+use mimosaledge_core::{Millis, Name, hash::hash64};
+use mimosaledge_policy::{
+    Endpoint, EndpointState,
+    health::{Health, Outcome},
+    placement::Candidate,
+};
+
+use crate::{clock::Clock, pool::Pool};
+
+/// One endpoint's process.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    pub(crate) endpoint: RefCell<Endpoint>,
+    pub(crate) pool: Pool,
+    node: u64,
+    in_flight: Cell<u32>,
+    health: RefCell<Health>,
+}
+
+impl Slot {
+    fn new(endpoint: Endpoint, clock: Clock) -> Slot {
+        let node = node_number(&endpoint);
+        let pool = Pool::new(endpoint.address, clock);
+        Slot {
+            endpoint: RefCell::new(endpoint),
+            pool,
+            node,
+            in_flight: Cell::new(0),
+            health: RefCell::default(),
+        }
+    }
+
+    /// Returns the number that all gateways give this incarnation.
+    pub(crate) fn node(&self) -> u64 {
+        self.node
+    }
+
+    /// Returns the endpoint's identifier.
+    pub(crate) fn id(&self) -> Name {
+        self.endpoint.borrow().id.clone()
+    }
+
+    /// Returns the requests of this gateway that the endpoint holds.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Notes how a request ended.
+    pub(crate) fn note(&self, outcome: Outcome, now: Millis) {
+        let mut health = self.health.borrow_mut();
+        let was_up = health.is_up();
+        health.note(outcome, now);
+        if was_up != health.is_up() {
+            let id = &self.endpoint.borrow().id;
+            spdlog::info!("health: endpoint={id} up={} cause={outcome:?}", health.is_up());
+        }
+        if !health.is_up() {
+            self.pool.clear();
+        }
+    }
+
+    /// Returns whether new requests may be sent here.
+    pub(crate) fn is_open(&self) -> bool {
+        self.endpoint.borrow().state == EndpointState::Ready && self.health.borrow().is_up()
+    }
+
+    /// Describes the endpoint for placement; `at_peers` counts the requests of
+    /// other gateways there.
+    pub(crate) fn to_candidate(&self, data_centre: &str, at_peers: u32, now: Millis) -> Candidate {
+        Candidate {
+            node: self.node,
+            load: f64::from(self.in_flight.get() + at_peers),
+            near: &*self.endpoint.borrow().data_centre == data_centre,
+            failing: self.health.borrow().failing(now),
+        }
+    }
+
+    /// Tries an endpoint that is down, if it is due for a trial.
+    pub(crate) async fn try_again(&self, now: Millis) {
+        if !self.health.borrow_mut().take_trial(now) {
+            return;
+        }
+        if self.pool.try_connect().await {
+            self.health.borrow_mut().note_reachable();
+            spdlog::info!("health: endpoint={} up=true cause=connected", self.id());
+        }
+    }
+}
+
+/// Counts a request at an endpoint until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    slot: Rc<Slot>,
+}
+
+impl InFlight {
+    /// Counts a request at `slot`.
+    pub(crate) fn enter(slot: Rc<Slot>) -> InFlight {
+        slot.in_flight.set(slot.in_flight.get() + 1);
+        InFlight { slot }
+    }
+
+    /// Returns the endpoint.
+    pub(crate) fn slot(&self) -> &Rc<Slot> {
+        &self.slot
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.slot.in_flight.set(self.slot.in_flight.get() - 1);
+    }
+}
+
+/// All endpoints, by service.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    slots: HashMap<u64, Rc<Slot>>,
+    services: HashMap<Name, Vec<Rc<Slot>>>,
+}
+
+impl Fleet {
+    /// Brings the endpoints in line with the list; requests under way at one
+    /// that has gone go on.
+    pub(crate) fn update<'a>(&mut self, listed: impl Iterator<Item = &'a Endpoint>, clock: Clock) {
+        let mut before = std::mem::take(&mut self.slots);
+        self.services.clear();
+        for endpoint in listed {
+            let node = node_number(endpoint);
+            let slot = match before.remove(&node) {
+                Some(slot) => {
+                    *slot.endpoint.borrow_mut() = endpoint.clone();
+                    slot
+                }
+                None => Rc::new(Slot::new(endpoint.clone(), clock)),
+            };
+            self.services.entry(endpoint.service.clone()).or_default().push(slot.clone());
+            self.slots.insert(node, slot);
+        }
+        for slot in before.values() {
+            slot.pool.clear();
+        }
+    }
+
+    /// Returns the endpoints of a service.
+    pub(crate) fn of_service(&self, service: &str) -> &[Rc<Slot>] {
+        self.services.get(service).map_or(&[], |it| it.as_slice())
+    }
+
+    /// Returns all endpoints.
+    pub(crate) fn slots(&self) -> impl Iterator<Item = &Rc<Slot>> {
+        self.slots.values()
+    }
+}
+
+fn node_number(endpoint: &Endpoint) -> u64 {
+    let born = endpoint.born.unwrap_or_default();
+    hash64(format!("{}\n{born}\n{}", endpoint.id, endpoint.address).as_bytes())
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,177 @@
+//! Follows the store: configuration, endpoints and other gateways.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    error::{Error, Result},
+    gateway::Gateway,
+    store::{GatewayEntry, Page, Record, Topic},
+};
+
+/// Longest wait for a change of the configuration in one call.
+const CONFIG_WAIT: Duration = Duration::from_secs(8);
+/// Longest time for an answer, beyond the wait that the call asks for.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause between two looks at the list of endpoints.
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(900);
+/// Pause between two looks at the list of gateways.
+const GATEWAYS_PAUSE: Duration = Duration::from_secs(10);
+/// First pause after a failed call.
+const FIRST_RETRY: Duration = Duration::from_millis(200);
+/// Longest pause after a failed call.
+const MAX_RETRY: Duration = Duration::from_millis(800);
+
+/// How far a topic has been read.
+struct Cursor {
+    topic: Topic,
+    next: Option<u64>,
+    pause: Duration,
+    lost: bool,
+}
+
+impl Cursor {
+    fn new(topic: Topic) -> Cursor {
+        Cursor { topic, next: None, pause: FIRST_RETRY, lost: false }
+    }
+
+    /// Reads on, or anew from the newest records if there is no place to read
+    /// on from.
+    async fn read(&mut self, gateway: &Gateway, wait: Duration) -> Result<(Page, bool)> {
+        let whole = self.next.is_none();
+        let call = async {
+            match self.next {
+                Some(from) => gateway.store.read(self.topic, from, wait).await,
+                None => gateway.store.newest(self.topic).await,
+            }
+        };
+        let page = match timeout(wait + CALL_TIMEOUT, call).await {
+            Ok(answered) => answered,
+            Err(_) => Err(Error::unreachable("timeout")),
+        };
+        let outcome = if page.is_ok() { "ok" } else { "failed" };
+        gateway.metrics.store_calls.with_label_values(&[outcome]).inc();
+        let page = page?;
+        self.next = Some(page.next);
+        self.pause = FIRST_RETRY;
+        if self.lost {
+            self.lost = false;
+            spdlog::info!("store: topic={:?} regained=true", self.topic);
+        }
+        Ok((page, whole))
+    }
+
+    async fn back_off(&mut self, err: &Error) {
+        if err.is_expired() {
+            spdlog::info!("store: topic={:?} next={:?} expired=true", self.topic, self.next);
+            self.next = None;
+            return;
+        }
+        if !self.lost {
+            self.lost = true;
+            spdlog::warn!("store: topic={:?} lost=true cause={err:?}", self.topic);
+        }
+        sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(MAX_RETRY);
+    }
+}
+
+/// Keeps the configuration up to date.
+pub(crate) async fn follow_config(gateway: Rc<Gateway>) {
+    let mut cursor = Cursor::new(Topic::Config);
+    loop {
+        let read = tokio::select! {
+            read = cursor.read(&gateway, CONFIG_WAIT) => read,
+            () = gateway.reread.notified() => {
+                cursor.next = None;
+                continue;
+            }
+        };
+        match read {
+            Ok((page, _)) => {
+                gateway.config_heard.set(gateway.now());
+                for record in page.records {
+                    match record {
+                        Record::Config(config) => gateway.apply_config(*config, "store"),
+                        record => log_unused(Topic::Config, record),
+                    }
+                }
+            }
+            Err(err) => cursor.back_off(&err).await,
+        }
+    }
+}
+
+/// Keeps the list of endpoints up to date.
+pub(crate) async fn follow_endpoints(gateway: Rc<Gateway>) {
+    let mut cursor = Cursor::new(Topic::Endpoints);
+    loop {
+        match cursor.read(&gateway, Duration::ZERO).await {
+            Ok((page, whole)) => {
+                gateway.endpoints_read();
+                take_endpoints(&gateway, page, whole);
+                sleep(ENDPOINTS_PAUSE).await;
+            }
+            Err(err) => {
+                if !err.is_expired() {
+                    gateway.endpoints_unread();
+                }
+                cursor.back_off(&err).await;
+            }
+        }
+    }
+}
+
+fn take_endpoints(gateway: &Gateway, page: Page, whole: bool) {
+    let mut changes = Vec::with_capacity(page.records.len());
+    for record in page.records {
+        match record {
+            Record::Endpoint(change) => changes.push(change),
+            record => log_unused(Topic::Endpoints, record),
+        }
+    }
+    if whole {
+        let listed = changes.into_iter().filter_map(|it| it.into_listed()).collect();
+        gateway.replace_endpoints(listed, page.next, "store");
+    } else {
+        gateway.apply_changes(changes, page.next);
+    }
+}
+
+/// Makes this gateway known and finds the others.
+pub(crate) async fn follow_gateways(gateway: Rc<Gateway>) {
+    let settings = &gateway.settings;
+    let entry = GatewayEntry { name: settings.name.clone(), address: settings.address };
+    let mut registered = false;
+    let mut cursor = Cursor::new(Topic::Gateways);
+    loop {
+        if !registered {
+            match timeout(CALL_TIMEOUT, gateway.store.register(entry.clone())).await {
+                Ok(Ok(())) => registered = true,
+                Ok(Err(err)) => cursor.back_off(&err).await,
+                Err(_) => cursor.back_off(&Error::unreachable("timeout")).await,
+            }
+        }
+        match cursor.read(&gateway, Duration::ZERO).await {
+            Ok((page, _)) => {
+                for record in page.records {
+                    match record {
+                        Record::Gateway(it) => {
+                            gateway.peers.borrow_mut().add(it.address, gateway.now());
+                        }
+                        record => log_unused(Topic::Gateways, record),
+                    }
+                }
+                sleep(GATEWAYS_PAUSE).await;
+            }
+            Err(err) => cursor.back_off(&err).await,
+        }
+    }
+}
+
+fn log_unused(topic: Topic, record: Record) {
+    if let Record::Unreadable { key, reason } = record {
+        spdlog::warn!("store: topic={topic:?} key={key} unreadable=true cause={reason:?}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,95 @@
+//! Counters and histograms of a gateway.
+
+use std::rc::Rc;
+
+use eyre::Result;
+use hyper::{Request, Response, body::Incoming};
+use mimosaledge_net::server::{ReplyBody, reply};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::gateway::Gateway;
+
+/// Upper bounds of the latency histogram's buckets, in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] =
+    [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0];
+
+/// What a gateway counts.
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) requests: IntCounterVec,
+    pub(crate) first_byte: Histogram,
+    pub(crate) repeats: IntCounter,
+    pub(crate) resumes: IntCounter,
+    pub(crate) store_calls: IntCounterVec,
+    version: IntGauge,
+    gateways: IntGauge,
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if two metrics have one name.
+    pub(crate) fn new() -> Result<Metrics> {
+        let registry = Registry::new();
+        let requests = IntCounterVec::new(
+            Opts::new("mimosaledge_requests_total", "Clients' requests by HTTP status."),
+            &["status"],
+        )?;
+        let first_byte = Histogram::with_opts(
+            HistogramOpts::new(
+                "mimosaledge_first_byte_seconds",
+                "Time from a request's arrival to the head of its answer.",
+            )
+            .buckets(LATENCY_BUCKETS_S.to_vec()),
+        )?;
+        let repeats =
+            IntCounter::new("mimosaledge_repeats_total", "Requests sent to a further endpoint.")?;
+        let resumes =
+            IntCounter::new("mimosaledge_resumes_total", "Streams resumed at a further endpoint.")?;
+        let store_calls = IntCounterVec::new(
+            Opts::new("mimosaledge_store_calls_total", "Calls to the store by outcome."),
+            &["outcome"],
+        )?;
+        let version =
+            IntGauge::new("mimosaledge_config_version", "Version of the configuration in force.")?;
+        let gateways = IntGauge::new("mimosaledge_gateways", "Gateways alive, this one included.")?;
+        registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(first_byte.clone()))?;
+        registry.register(Box::new(repeats.clone()))?;
+        registry.register(Box::new(resumes.clone()))?;
+        registry.register(Box::new(store_calls.clone()))?;
+        registry.register(Box::new(version.clone()))?;
+        registry.register(Box::new(gateways.clone()))?;
+        Ok(Metrics {
+            registry,
+            requests,
+            first_byte,
+            repeats,
+            resumes,
+            store_calls,
+            version,
+            gateways,
+        })
+    }
+
+    fn to_text(&self) -> Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+/// Answers a request for the metrics.
+pub(crate) async fn show(gateway: Rc<Gateway>, _: Request<Incoming>) -> Response<ReplyBody> {
+    gateway.metrics.version.set(i64::try_from(gateway.version()).unwrap_or(i64::MAX));
+    gateway.metrics.gateways.set(gateway.gateways() as i64);
+    match gateway.metrics.to_text() {
+        Ok(text) => reply(200, text),
+        Err(err) => reply(500, err.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sync.rs
@@ -0,0 +1,137 @@
+//! Copies configuration and endpoints from another gateway, for when the store
+//! is out of reach.
+
+use std::{cell::Cell, io, net::Ipv4Addr, rc::Rc, time::Duration};
+
+use mimosaledge_policy::{Endpoint, FleetConfig};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{gateway::Gateway, socket};
+
+/// Longest time for one copy.
+const COPY_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause after a copy before the next.
+const COPY_PAUSE: Duration = Duration::from_millis(400);
+/// Largest message, in bytes.
+const MAX_MESSAGE: u32 = 8 << 20;
+
+/// What a gateway asks another one for.
+#[derive(Debug, Serialize, Deserialize)]
+struct Want {
+    /// The configuration that it has.
+    version: u64,
+    /// How far it has read the list of endpoints.
+    offset: u64,
+}
+
+/// What the asker lacks.
+#[derive(Debug, Serialize, Deserialize)]
+struct State {
+    config: Option<FleetConfig>,
+    endpoints: Option<Vec<Endpoint>>,
+    offset: u64,
+}
+
+/// Starts a copy if another gateway is ahead and no copy is under way.
+pub(crate) fn catch_up(gateway: &Rc<Gateway>, syncing: &Rc<Cell<bool>>) {
+    let list_away = !gateway.follows_endpoints();
+    let offset = if list_away { gateway.endpoints_offset.get() } else { u64::MAX };
+    let ahead = gateway.peers.borrow().ahead(gateway.version(), offset, gateway.now());
+    let Some(address) = ahead.filter(|_| !syncing.get()) else {
+        return;
+    };
+    syncing.set(true);
+    let (gateway, syncing) = (gateway.clone(), syncing.clone());
+    spawn_local(async move {
+        let want = Want { version: gateway.version(), offset };
+        match timeout(COPY_TIMEOUT, copy(&gateway, address, want)).await {
+            Ok(Ok(state)) => apply(&gateway, state, address),
+            Ok(Err(err)) => spdlog::info!("sync: address={address} failed, cause={err}"),
+            Err(_) => spdlog::info!("sync: address={address} failed, cause=timeout"),
+        }
+        sleep(COPY_PAUSE).await;
+        syncing.set(false);
+    });
+}
+
+/// Answers other gateways' requests for a copy.
+pub(crate) async fn serve_copies(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let gateway = gateway.clone();
+                spawn_local(async move {
+                    match timeout(COPY_TIMEOUT, give_copy(&gateway, stream)).await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(err)) => spdlog::info!("sync: asker={from} failed, cause={err}"),
+                        Err(_) => spdlog::info!("sync: asker={from} failed, cause=timeout"),
+                    }
+                });
+            }
+            Err(err) => {
+                spdlog::warn!("sync: cannot accept, cause={err}");
+                sleep(COPY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn copy(gateway: &Gateway, address: Ipv4Addr, want: Want) -> io::Result<State> {
+    let mut stream = TcpStream::connect((address, gateway.settings.listen.peers)).await?;
+    socket::prepare(&stream)?;
+    write_message(&mut stream, &want).await?;
+    read_message(&mut stream).await
+}
+
+fn apply(gateway: &Gateway, state: State, address: Ipv4Addr) {
+    let source = address.to_string();
+    if let Some(config) = state.config {
+        gateway.apply_config(config, &source);
+    }
+    if let Some(endpoints) = state.endpoints
+        && state.offset > gateway.endpoints_offset.get()
+        && !gateway.follows_endpoints()
+    {
+        gateway.replace_endpoints(endpoints, state.offset, &source);
+    }
+}
+
+async fn give_copy(gateway: &Gateway, mut stream: TcpStream) -> io::Result<()> {
+    let want: Want = read_message(&mut stream).await?;
+    let offset = gateway.endpoints_offset.get();
+    let state = State {
+        config: gateway
+            .config
+            .borrow()
+            .as_ref()
+            .filter(|it| it.version > want.version)
+            .map(|it| FleetConfig::clone(it)),
+        endpoints: (offset > want.offset)
+            .then(|| gateway.endpoints.borrow().iter().cloned().collect()),
+        offset,
+    };
+    write_message(&mut stream, &state).await
+}
+
+async fn write_message(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
+    let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    stream.write_u32(length).await?;
+    stream.write_all(&bytes).await
+}
+
+async fn read_message<T: for<'de> Deserialize<'de>>(stream: &mut TcpStream) -> io::Result<T> {
+    let length = stream.read_u32().await?;
+    if length > MAX_MESSAGE {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "message too large"));
+    }
+    let mut bytes = vec![0; length as usize];
+    stream.read_exact(&mut bytes).await?;
+    postcard::from_bytes(&bytes).map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/policy/src/endpoints.rs
@@ -0,0 +1,140 @@
+//! Endpoints that may be used.
+//!
+//! The platform's list drops an entry when its endpoint has left or fallen
+//! silent, but an outage of the list drops entries of live endpoints as well.
+//! An entry that goes while the list is away, or shortly after its return, is
+//! therefore held for [`RETURN_GRACE_MS`] before it counts as gone.
+
+use std::collections::HashMap;
+
+use mimosaledge_core::{Millis, Name};
+
+use crate::endpoint::{Endpoint, EndpointState};
+
+/// Time after the list's return within which live endpoints are listed again,
+/// in milliseconds.
+pub const RETURN_GRACE_MS: u64 = 2_300;
+
+/// A change of the set of endpoints.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// An endpoint is new, or its entry or incarnation has changed.
+    Listed(Endpoint),
+    /// An entry has gone or cannot be used.
+    Gone(Name),
+}
+
+impl Change {
+    /// Returns the endpoint if it is listed.
+    pub fn into_listed(self) -> Option<Endpoint> {
+        match self {
+            Change::Listed(endpoint) => Some(endpoint),
+            Change::Gone(_) => None,
+        }
+    }
+}
+
+/// The endpoints of all services.
+#[derive(Debug, Default)]
+pub struct Endpoints {
+    listed: HashMap<Name, Endpoint>,
+    held: HashMap<Name, Millis>,
+    away: bool,
+    read: bool,
+    returned: Option<Millis>,
+}
+
+impl Endpoints {
+    /// Applies one change; returns whether anything changed.
+    pub fn apply(&mut self, change: Change, now: Millis) -> bool {
+        match change {
+            Change::Listed(endpoint) => {
+                self.held.remove(&endpoint.id);
+                let before = self.listed.insert(endpoint.id.clone(), endpoint.clone());
+                before.as_ref() != Some(&endpoint)
+            }
+            Change::Gone(id) => self.drop_entry(&id, now),
+        }
+    }
+
+    /// Replaces the whole list by `entries`.
+    pub fn replace(&mut self, entries: Vec<Endpoint>, now: Millis) {
+        let missing: Vec<Name> = self
+            .listed
+            .keys()
+            .filter(|id| entries.iter().all(|it| it.id != **id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.drop_entry(&id, now);
+        }
+        for endpoint in entries {
+            self.apply(Change::Listed(endpoint), now);
+        }
+    }
+
+    /// Returns whether the list cannot be read, or has not been read yet.
+    pub fn is_away(&self) -> bool {
+        self.away || !self.read
+    }
+
+    /// Notes that the list cannot be read.
+    pub fn list_lost(&mut self) {
+        self.away = true;
+    }
+
+    /// Notes that the list can be read again; holds end [`RETURN_GRACE_MS`]
+    /// after the first such note.
+    pub fn list_returned(&mut self, now: Millis) {
+        self.read = true;
+        if self.away {
+            self.away = false;
+            self.returned = Some(now);
+        }
+    }
+
+    /// Drops held entries whose time is over; returns their identifiers.
+    pub fn expire(&mut self, now: Millis) -> Vec<Name> {
+        if self.is_grace(now) {
+            return Vec::new();
+        }
+        let ended: Vec<Name> = self.held.keys().cloned().collect();
+        for id in &ended {
+            self.held.remove(id);
+            self.listed.remove(id);
+        }
+        ended
+    }
+
+    /// Returns all listed endpoints, held ones too.
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.listed.values()
+    }
+
+    /// Returns an endpoint by its identifier.
+    pub fn get(&self, id: &str) -> Option<&Endpoint> {
+        self.listed.get(id)
+    }
+
+    /// Returns whether any endpoint takes new work.
+    pub fn any_ready(&self) -> bool {
+        self.listed.values().any(|it| it.state == EndpointState::Ready)
+    }
+
+    fn drop_entry(&mut self, id: &Name, now: Millis) -> bool {
+        let Some(endpoint) = self.listed.get(id) else {
+            return false;
+        };
+        if endpoint.state == EndpointState::Ready && self.is_grace(now) {
+            self.held.entry(id.clone()).or_insert(now);
+            return false;
+        }
+        self.held.remove(id);
+        self.listed.remove(id);
+        true
+    }
+
+    fn is_grace(&self, now: Millis) -> bool {
+        self.away || self.returned.is_some_and(|at| now.since(at) < RETURN_GRACE_MS)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,31 @@
+//! Decisions of the gateway, free of sockets and clocks.
+//!
+//! | module | decision |
+//! |---|---|
+//! | [`config`] | the configuration in force and how a request finds its route |
+//! | [`endpoints`] | which endpoints may be used, also while their list is away |
+//! | [`placement`] | which endpoint serves a request within the load bound |
+//! | [`retry_budget`] | how many requests may be sent a second time |
+//! | [`health`] | what failures say about an endpoint |
+//! | [`crashers`] | which requests crash the endpoints that run them |
+//! | [`events`] | where the events of a stream begin and end |
+
+pub mod config;
+pub mod crashers;
+pub mod endpoint;
+pub mod endpoints;
+pub mod events;
+pub mod health;
+pub mod limits;
+pub mod placement;
+pub mod retry_budget;
+pub mod route;
+pub mod service;
+
+pub use crate::{
+    config::FleetConfig,
+    endpoint::{Endpoint, EndpointState},
+    limits::Limits,
+    route::{Repeat, Route, Target},
+    service::Service,
+};
--- a/crates/replay/src/caller.rs
+++ b/crates/replay/src/caller.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, header::HOST};
 use mimosaledge_core::Outcome;
-use mimosaledge_platform::{
+use mimosaledge_net::{
     http::Call,
     pool::{Pool, PoolError},
 };
--- a/crates/replay/src/latency.rs
+++ b/crates/replay/src/latency.rs
@@ -7,7 +7,7 @@
 use hdrhistogram::Histogram;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header::HOST};
-use mimosaledge_platform::pool::Pool;
+use mimosaledge_net::pool::Pool;
 use mimosaledge_standin::engine::Generate;
 use serde::Serialize;
 use tokio::time::Duration;
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -13,7 +13,7 @@
 
 use eyre::{Result, WrapErr, eyre};
 use mimosaledge_core::endpoints::EndpointId;
-use mimosaledge_platform::{Vm, VmKind, incarnation::draw_incarnation, runtime};
+use mimosaledge_net::{Vm, VmKind, incarnation::draw_incarnation, runtime};
 use mimosaledge_replay::{
     caller::Caller,
     driver::Driver,
--- a/crates/replay/src/sampler.rs
+++ b/crates/replay/src/sampler.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use mimosaledge_platform::{Vm, VmKind, http::Call};
+use mimosaledge_net::{Vm, VmKind, http::Call};
 use mimosaledge_standin::{engine::Statistics, service::Runs};
 use tokio::{task::JoinSet, time};
 
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -8,7 +8,7 @@
     budget::jittered_wait,
     once::{Answer, KeyPrefix},
 };
-use mimosaledge_platform::server::{ReplyBody, reply};
+use mimosaledge_net::server::{ReplyBody, reply};
 use serde::Serialize;
 
 use crate::node::Node;
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -8,7 +8,7 @@
     head::Verdict,
     members::{Heartbeat, RouterRef, zone_hash},
 };
-use mimosaledge_platform::{Page, Vm, VmKind, log::CONFIG_STREAM};
+use mimosaledge_net::{Page, Vm, VmKind, log::CONFIG_STREAM};
 use spdlog::{error, info, warn};
 use tokio::time;
 
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -5,7 +5,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, header::HOST};
 use mimosaledge_core::members::{Heartbeat, RouterRef};
-use mimosaledge_platform::server::{ReplyBody, reply};
+use mimosaledge_net::server::{ReplyBody, reply};
 use spdlog::info;
 use tokio::time;
 
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Method, Request, Response, body::Incoming};
 use mimosaledge_core::{Code, config::Target, quarantine::Standing};
-use mimosaledge_platform::server::{self, ReplyBody};
+use mimosaledge_net::server::{self, ReplyBody};
 use spdlog::info;
 use tokio::net::TcpListener;
 
--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -4,7 +4,7 @@
 
 use hyper::Response;
 use mimosaledge_core::place::PlaceHint;
-use mimosaledge_platform::server::{ReplyBody, channel_body};
+use mimosaledge_net::server::{ReplyBody, channel_body};
 use spdlog::info;
 
 use crate::{
--- a/crates/router/src/locate.rs
+++ b/crates/router/src/locate.rs
@@ -10,7 +10,7 @@
     members::{Heartbeat, zone_hash},
     once::KeyPrefix,
 };
-use mimosaledge_platform::server::{ReplyBody, reply};
+use mimosaledge_net::server::{ReplyBody, reply};
 use serde::Serialize;
 
 use crate::{
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, rc::Rc};
 
 use eyre::Result;
-use mimosaledge_platform::{logging, runtime};
+use mimosaledge_net::{logging, runtime};
 use mimosaledge_router::{Node, Settings, Sockets, StopHandle};
 
 mod flags {
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -20,7 +20,7 @@
     place::Policy,
     quarantine::Quarantine,
 };
-use mimosaledge_platform::{
+use mimosaledge_net::{
     HttpLog, HttpVmList, Log, Meter, VmList, incarnation::draw_incarnation, pool::Pool,
 };
 use tokio::{
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -9,7 +9,7 @@
     members::RouterRef,
     once::{Answer, Key, NoteReply, SealReply, Step},
 };
-use mimosaledge_platform::server::{ReplyBody, reply};
+use mimosaledge_net::server::{ReplyBody, reply};
 use mimosaledge_wire::Message;
 use spdlog::{info, warn};
 use tokio::{sync::oneshot, time};
--- a/crates/router/src/ops.rs
+++ b/crates/router/src/ops.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Method, Request, Response, body::Incoming};
 use mimosaledge_core::{Name, endpoints::EndpointId};
-use mimosaledge_platform::server::{self, ReplyBody, json_reply, reply};
+use mimosaledge_net::server::{self, ReplyBody, json_reply, reply};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use mimosaledge_core::endpoints::{EndpointId, LoadReport};
-use mimosaledge_platform::{Error, Result, http::Call};
+use mimosaledge_net::{Error, Result, http::Call};
 use mimosaledge_wire::Message;
 use spdlog::{info, warn};
 use tokio::time;
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -11,7 +11,7 @@
     head::Active,
     place::PlaceHint,
 };
-use mimosaledge_platform::server::read_body;
+use mimosaledge_net::server::read_body;
 use serde::Deserialize;
 
 use crate::node::{Node, preset};
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -5,7 +5,7 @@
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, header::HOST};
 use mimosaledge_core::endpoints::{EndpointId, LoadReport};
-use mimosaledge_platform::{
+use mimosaledge_net::{
     http::Call,
     pool::{Connection, PoolError},
 };
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, body::Incoming, header::HOST};
 use mimosaledge_core::{Code, endpoints::EndpointId, hash::rendezvous_score};
-use mimosaledge_platform::{
+use mimosaledge_net::{
     pool::{Connection, PoolError},
     server::{ReplyBody, reply},
 };
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -4,7 +4,7 @@
 
 use eyre::{Context, Result, eyre};
 use mimosaledge_core::{config::ConfigError, name::Name, place::PolicyName};
-use mimosaledge_platform::logging::LogLevel;
+use mimosaledge_net::logging::LogLevel;
 use serde::Deserialize;
 
 /// The document kind that distinguishes router settings.
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use mimosaledge_core::Code;
-use mimosaledge_platform::server::Aborted;
+use mimosaledge_net::server::Aborted;
 use spdlog::warn;
 use tokio::{sync::mpsc::Sender, time};
 
--- a/crates/router/tests/input.rs
+++ b/crates/router/tests/input.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use mimosaledge_platform::http::Call;
+use mimosaledge_net::http::Call;
 use support::{Fleet, Plan, chat_body, get, is_whole, run};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
--- a/crates/router/tests/leaving.rs
+++ b/crates/router/tests/leaving.rs
@@ -4,7 +4,7 @@
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
-use mimosaledge_platform::{http::Call, pool::Pool};
+use mimosaledge_net::{http::Call, pool::Pool};
 use mimosaledge_standin::engine::{Control, Statistics};
 use support::{Answer, Fleet, Plan, Router, chat_body, get, is_whole, run, status};
 use tokio::task::JoinSet;
--- a/crates/router/tests/once_faults.rs
+++ b/crates/router/tests/once_faults.rs
@@ -234,7 +234,7 @@
         let mut runs = tokio::task::JoinSet::new();
         for key in keys.clone() {
             let (pool, addr) =
-                (mimosaledge_platform::pool::Pool::new(AT_ONCE), fleet.routers[0].member.addr);
+                (mimosaledge_net::pool::Pool::new(AT_ONCE), fleet.routers[0].member.addr);
             runs.spawn_local(async move {
                 let headers = [
                     ("x-workspace", "w1"),
@@ -268,7 +268,7 @@
         fleet.control_services(&Control { work_ms: Some(400), ..Control::default() }).await;
         let (home, ops) = (fleet.routers[0].member.addr, fleet.routers[0].ops);
         let open = tokio::task::spawn_local(async move {
-            let pool = mimosaledge_platform::pool::Pool::new(AT_ONCE);
+            let pool = mimosaledge_net::pool::Pool::new(AT_ONCE);
             let headers = [
                 ("x-workspace", "w1"),
                 ("x-class", "booking"),
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -18,7 +18,7 @@
     head::Fold,
     record::{Change, Record},
 };
-use mimosaledge_platform::{
+use mimosaledge_net::{
     Vm, VmKind,
     http::Call,
     pool::{Pool, PoolError},
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -13,7 +13,7 @@
     hash::hash32,
     orders::{EngineState, Order},
 };
-use mimosaledge_platform::{
+use mimosaledge_net::{
     http::Call,
     server::{ReplyBody, channel_body, json_reply, read_body, reply, serve},
 };
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use mimosaledge_platform::server::Aborted;
+use mimosaledge_net::server::Aborted;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::Sender;
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,7 +3,7 @@
 use std::{fs, net::SocketAddr, path::PathBuf};
 
 use eyre::{Context, Result};
-use mimosaledge_platform::{incarnation::draw_incarnation, runtime};
+use mimosaledge_net::{incarnation::draw_incarnation, runtime};
 use mimosaledge_standin::{engine, platform, service};
 use tokio::net::TcpListener;
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -11,7 +11,7 @@
     body::Incoming,
     header::{ETAG, IF_NONE_MATCH},
 };
-use mimosaledge_platform::{
+use mimosaledge_net::{
     Vm,
     server::{ReplyBody, json_reply, read_body, reply, serve},
 };
--- a/crates/standin/src/platform/log.rs
+++ b/crates/standin/src/platform/log.rs
@@ -1,6 +1,6 @@
 use std::collections::{HashMap, VecDeque};
 
-use mimosaledge_platform::{LogEntry, Page};
+use mimosaledge_net::{LogEntry, Page};
 use tokio::time::{Duration, Instant};
 
 /// Most records in one answer to a read.
--- a/crates/standin/src/platform/vms.rs
+++ b/crates/standin/src/platform/vms.rs
@@ -1,4 +1,4 @@
-use mimosaledge_platform::Vm;
+use mimosaledge_net::Vm;
 use tokio::time::{Duration, Instant};
 
 /// A list of VMs that shows each change only after a lag.
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -1,7 +1,7 @@
 //! What all stand-ins do with requests.
 
 use hyper::{Request, Response, body::Incoming};
-use mimosaledge_platform::server::{ReplyBody, read_body, reply};
+use mimosaledge_net::server::{ReplyBody, read_body, reply};
 use serde::de::DeserializeOwned;
 
 /// Largest control document, in bytes.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -9,7 +9,7 @@
 
 use hyper::{Method, Request, Response, body::Incoming};
 use mimosaledge_core::endpoints::LoadReport;
-use mimosaledge_platform::server::{
+use mimosaledge_net::server::{
     Aborted, ReplyBody, channel_body, json_reply, read_body, reply, serve,
 };
 use serde::{Deserialize, Serialize};
--- a/crates/steward/src/engines.rs
+++ b/crates/steward/src/engines.rs
@@ -6,7 +6,7 @@
     Name,
     orders::{EngineState, Order},
 };
-use mimosaledge_platform::{Error, Result, Vm, http::Call};
+use mimosaledge_net::{Error, Result, Vm, http::Call};
 use tokio::task::JoinSet;
 
 /// Longest wait for an engine.
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use eyre::Result;
-use mimosaledge_platform::{incarnation::draw_incarnation, logging, runtime};
+use mimosaledge_net::{incarnation::draw_incarnation, logging, runtime};
 use mimosaledge_steward::{Settings, Steward};
 
 mod flags {
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -2,7 +2,7 @@
 
 use eyre::{Result, WrapErr, eyre};
 use mimosaledge_core::{config::ConfigError, name::Name};
-use mimosaledge_platform::logging::LogLevel;
+use mimosaledge_net::logging::LogLevel;
 use serde::Deserialize;
 
 /// The document kind that distinguishes steward settings.
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -9,7 +9,7 @@
     lease::{Action, Claim, Lease, TERM_MS},
     orders::{EngineState, LoadPacer, missing_order},
 };
-use mimosaledge_platform::{
+use mimosaledge_net::{
     HttpLog, HttpVmList, Log, Meter, Vm, VmKind, VmList,
     log::{CONFIG_STREAM, LEASE_STREAM},
 };
--- a/crates/steward/tests/orders.rs
+++ b/crates/steward/tests/orders.rs
@@ -6,7 +6,7 @@
     orders::EngineState,
     record::{Change, Record},
 };
-use mimosaledge_platform::{Vm, VmKind, http::Call};
+use mimosaledge_net::{Vm, VmKind, http::Call};
 use mimosaledge_standin::{
     engine,
     platform::{self, Control, Mode, WeightStatistics},
