Stop listening when a stopping gateway closes idle connections

The listener stayed open until the exit, so a client connected 4.5 s after SIGTERM and its stream outlasted the grace period. Ruled out: a kept connection (it was new).

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -151,10 +151,12 @@
     spdlog::info!("gateway: stopping connections={}", gateway.drain.connections());
     log.hand_over();
     sleep_until((began + LEAVE_TIME).min(end)).await;
+    // Clients that come later find nobody listening and turn to another
+    // gateway; a request taken now could outlast the grace period.
+    accepting.abort();
     gateway.drain.enter(Phase::Closing);
     while gateway.drain.connections() > 0 && Instant::now() < end {
         sleep(END_LOOK).await;
     }
-    accepting.abort();
     spdlog::info!("gateway: stopped connections={}", gateway.drain.connections());
 }
