--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,13 +1,13 @@
 //! Sends one request to endpoints, one after the other.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddrV4, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, Version, body::Incoming, http::response};
 use mimosaledge_net::server::{ReplyBody, full_body};
 use mimosaledge_policy::{
-    Repeat,
+    Repeat, cached,
     health::Outcome,
     placement::{self, Candidate},
 };
@@ -242,12 +242,14 @@
     slot: &Slot,
     last_event: Option<u64>,
 ) -> Request<Full<Bytes>> {
+    let fetch_from = fetch_source(gateway, job, slot);
     let forward = Forward {
         deadline_ms: job.left_ms(gateway.now()),
         endpoint: slot.id(),
         workspace: job.admitted.workspace.clone(),
         priority: job.prefix.is_some().then_some(job.admitted.priority),
         last_event,
+        fetch_from,
     };
     let mut headers = gateway.dialect.encode_forward(&job.head.headers, &forward);
     strip_connection_headers(&mut headers);
@@ -259,6 +261,20 @@
     request
 }
 
+/// Returns the engine that has the prompt's prefix cached if `slot` may not.
+fn fetch_source(gateway: &Gateway, job: &Job, slot: &Slot) -> Option<SocketAddrV4> {
+    let prefix = job.prefix?;
+    let now = gateway.now();
+    let fleet = gateway.fleet.borrow();
+    let reachable: Vec<&Rc<Slot>> =
+        fleet.of_service(&job.service).iter().filter(|it| it.is_reachable()).collect();
+    let nodes: Vec<u64> = reachable.iter().map(|it| it.node()).collect();
+    let mut cached = gateway.cached.borrow_mut();
+    let source = cached::fetch_source(prefix, slot.node(), &nodes, &cached, now);
+    cached.note(prefix, slot.node(), now);
+    source.map(|at| reachable[at].endpoint.borrow().address)
+}
+
 fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
     match uri.path_and_query() {
         Some(path) => hyper::Uri::from(path.clone()),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,5 +1,7 @@
 //! What stands in requests and answers, free of any platform's names.
 
+use std::net::SocketAddrV4;
+
 use hyper::{HeaderMap, http::request, http::response};
 use mimosaledge_core::Name;
 
@@ -42,6 +44,8 @@
     pub priority: Option<u8>,
     /// The last event received, of a stream to resume.
     pub last_event: Option<u64>,
+    /// The engine from which to fetch what it has cached of the prompt.
+    pub fetch_from: Option<SocketAddrV4>,
 }
 
 /// What an endpoint's answer says besides status and body.
@@ -82,7 +86,7 @@
     fn encode_directory(
         &self,
         head: &request::Parts,
-        addresses: &dyn Fn(&str) -> Vec<std::net::SocketAddrV4>,
+        addresses: &dyn Fn(&str) -> Vec<SocketAddrV4>,
     ) -> (u16, Vec<u8>);
 
     /// Returns whether the request asks whether the gateway is ready.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -72,6 +72,11 @@
         self.endpoint.borrow().state == EndpointState::Ready && self.health.borrow().is_up()
     }
 
+    /// Returns whether the endpoint can be reached, as far as known.
+    pub(crate) fn is_reachable(&self) -> bool {
+        self.health.borrow().is_up()
+    }
+
     /// Describes the endpoint for placement; `at_peers` counts the requests of
     /// other gateways there.
     pub(crate) fn to_candidate(&self, data_centre: &str, at_peers: u32, now: Millis) -> Candidate {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use mimosaledge_core::{Millis, Name};
 use mimosaledge_policy::{
     FleetConfig,
+    cached::CachedPrefixes,
     config::RouteTable,
     crashers::Crashers,
     endpoints::{Change, Endpoints},
@@ -39,6 +40,7 @@
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) crashers: RefCell<Crashers>,
+    pub(crate) cached: RefCell<CachedPrefixes>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) config_heard: Cell<Millis>,
     pub(crate) reread: Notify,
@@ -74,6 +76,7 @@
             fleet: RefCell::default(),
             budget: RefCell::new(RetryBudget::from_limit(limit)),
             crashers: RefCell::default(),
+            cached: RefCell::default(),
             peers: RefCell::new(peers),
             config_heard: Cell::new(Millis(0)),
             reread: Notify::new(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,11 +5,13 @@
 //! | [`config`] | the configuration in force and how a request finds its route |
 //! | [`endpoints`] | which endpoints may be used, also while their list is away |
 //! | [`placement`] | which endpoint serves a request within the load bound |
+//! | [`cached`] | from which engine a prompt prefix is fetched |
 //! | [`retry_budget`] | how many requests may be sent a second time |
 //! | [`health`] | what failures say about an endpoint |
 //! | [`crashers`] | which requests crash the endpoints that run them |
 //! | [`events`] | where the events of a stream begin and end |
 
+pub mod cached;
 pub mod config;
 pub mod crashers;
 pub mod endpoint;
