Let two gateways read the list of endpoints for all

Cause: on the grown sites calls to the store were the largest price, since every gateway read the list of endpoints once a second. Now two read it, and send what changed in a datagram after each read; a gateway that hears nothing for 1.3 s, or whose list differs, reads or copies it itself. Configuration is still read by every gateway: one that is large would choke a reader's link.

Tests found two more faults: a read of the newest records waited as long as a poll (21 s on a mute store), and an outage met only by the reader of the configuration did not hold lapsed entries.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,22 +2,31 @@
 
 use std::{rc::Rc, time::Duration};
 
+use mimosaledge_core::hash::hash64;
 use tokio::time::{sleep, timeout};
 
 use crate::{
     error::{Error, Result},
     gateway::Gateway,
+    peers,
     store::{GatewayEntry, Page, Record, Topic},
 };
 
 /// Longest wait for a change of the configuration in one call.
-const CONFIG_WAIT: Duration = Duration::from_secs(8);
+const CONFIG_WAIT: Duration = Duration::from_secs(20);
 /// Longest time for an answer, beyond the wait that the call asks for.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause between two looks at the list of endpoints.
 const ENDPOINTS_PAUSE: Duration = Duration::from_millis(900);
+/// Age of the word on the list of endpoints at which a gateway reads it
+/// itself, in milliseconds.
+const WORD_MS: u64 = 1_300;
+/// Spread of that age over gateways, in milliseconds.
+const WORD_SPREAD_MS: u64 = 300;
+/// Pause between two looks at that age.
+const WORD_LOOK: Duration = Duration::from_millis(100);
 /// Pause between two looks at the list of gateways.
-const GATEWAYS_PAUSE: Duration = Duration::from_secs(10);
+const GATEWAYS_PAUSE: Duration = Duration::from_secs(60);
 /// First pause after a failed call.
 const FIRST_RETRY: Duration = Duration::from_millis(200);
 /// Longest pause after a failed call.
@@ -40,6 +49,7 @@
     /// on from.
     async fn read(&mut self, gateway: &Gateway, wait: Duration) -> Result<(Page, bool)> {
         let whole = self.next.is_none();
+        let wait = if whole { Duration::ZERO } else { wait };
         let call = async {
             match self.next {
                 Some(from) => gateway.store.read(self.topic, from, wait).await,
@@ -51,7 +61,7 @@
             Err(_) => Err(Error::unreachable("timeout")),
         };
         let outcome = if page.is_ok() { "ok" } else { "failed" };
-        gateway.metrics.store_calls.with_label_values(&[outcome]).inc();
+        gateway.metrics.store_calls.with_label_values(&[topic_label(self.topic), outcome]).inc();
         let page = page?;
         self.next = Some(page.next);
         self.pause = FIRST_RETRY;
@@ -62,6 +72,11 @@
         Ok((page, whole))
     }
 
+    /// Skips records that another gateway has read.
+    fn skip_to(&mut self, offset: u64) {
+        self.next = self.next.map(|next| next.max(offset));
+    }
+
     async fn back_off(&mut self, err: &Error) {
         if err.is_expired() {
             spdlog::info!("store: topic={:?} next={:?} expired=true", self.topic, self.next);
@@ -98,7 +113,14 @@
                     }
                 }
             }
-            Err(err) => cursor.back_off(&err).await,
+            Err(err) => {
+                if !err.is_expired() {
+                    // Entries may lapse in an outage that the list's own
+                    // reader does not meet.
+                    gateway.endpoints_unread();
+                }
+                cursor.back_off(&err).await;
+            }
         }
     }
 }
@@ -109,20 +131,40 @@
     loop {
         match cursor.read(&gateway, Duration::ZERO).await {
             Ok((page, whole)) => {
+                if !gateway.follows_endpoints() {
+                    // A wait for the configuration may have been lost as well.
+                    gateway.reread.notify_one();
+                }
                 gateway.endpoints_read();
                 take_endpoints(&gateway, page, whole);
+                peers::send_stamp(&gateway).await;
                 sleep(ENDPOINTS_PAUSE).await;
+                wait_for_turn(&gateway).await;
+                cursor.skip_to(gateway.endpoints_offset.get());
             }
             Err(err) => {
                 if !err.is_expired() {
                     gateway.endpoints_unread();
                 }
                 cursor.back_off(&err).await;
+                if !err.is_expired() {
+                    wait_for_turn(&gateway).await;
+                    cursor.skip_to(gateway.endpoints_offset.get());
+                }
             }
         }
     }
 }
 
+/// Waits until this gateway has to read the list of endpoints itself: as a
+/// reader at once, else when there is no word of it from a reader.
+async fn wait_for_turn(gateway: &Gateway) {
+    let spread_ms = hash64(gateway.settings.name.as_bytes()) % WORD_SPREAD_MS;
+    while !gateway.reads_endpoints() && gateway.list_age_ms() < WORD_MS + spread_ms {
+        sleep(WORD_LOOK).await;
+    }
+}
+
 fn take_endpoints(gateway: &Gateway, page: Page, whole: bool) {
     let mut changes = Vec::with_capacity(page.records.len());
     for record in page.records {
@@ -170,6 +212,14 @@
     }
 }
 
+fn topic_label(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Config => "config",
+        Topic::Endpoints => "endpoints",
+        Topic::Gateways => "gateways",
+    }
+}
+
 fn log_unused(topic: Topic, record: Record) {
     if let Record::Unreadable { key, reason } = record {
         spdlog::warn!("store: topic={topic:?} key={key} unreadable=true cause={reason:?}");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! What the tasks of one gateway share.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
 };
 
@@ -14,11 +14,17 @@
     endpoints::{Change, Endpoints},
     retry_budget::{RetryBudget, RetryLimit},
 };
-use tokio::sync::Notify;
+use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
-    clock::Clock, dialect::Dialect, drain::Drain, fleet::Fleet, metrics::Metrics, peers::Peers,
-    settings::Settings, store::Store,
+    clock::Clock,
+    dialect::Dialect,
+    drain::Drain,
+    fleet::Fleet,
+    metrics::Metrics,
+    peers::{News, Peers, Stamp},
+    settings::Settings,
+    store::Store,
 };
 
 /// Age of the last word of store or peers after which the configuration may be
@@ -43,7 +49,11 @@
     pub(crate) cached: RefCell<CachedPrefixes>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) config_heard: Cell<Millis>,
+    pub(crate) list_heard: Cell<Millis>,
+    digest: Cell<u64>,
     pub(crate) reread: Notify,
+    pub(crate) news: RefCell<News>,
+    pub(crate) beats: OnceCell<Rc<UdpSocket>>,
 }
 
 impl Gateway {
@@ -79,7 +89,11 @@
             cached: RefCell::default(),
             peers: RefCell::new(peers),
             config_heard: Cell::new(Millis(0)),
+            list_heard: Cell::new(Millis(0)),
+            digest: Cell::new(0),
             reread: Notify::new(),
+            news: RefCell::default(),
+            beats: OnceCell::new(),
         }
     }
 
@@ -103,14 +117,20 @@
         self.now().since(self.config_heard.get()) < STALE_MS
     }
 
-    /// Returns whether the list of endpoints is being read from the store.
+    /// Returns whether the list of endpoints could be read at the last try.
     pub(crate) fn follows_endpoints(&self) -> bool {
         !self.endpoints.borrow().is_away()
     }
 
+    /// Returns whether this gateway reads the list of endpoints itself.
+    pub(crate) fn reads_endpoints(&self) -> bool {
+        self.follows_endpoints() && self.peers.borrow().is_reader(self.now())
+    }
+
     /// Notes that the list of endpoints was read.
     pub(crate) fn endpoints_read(&self) {
         self.endpoints.borrow_mut().list_returned(self.now());
+        self.list_heard.set(self.now());
         self.config_heard.set(self.now());
     }
 
@@ -138,20 +158,92 @@
     pub(crate) fn apply_changes(&self, changes: Vec<Change>, offset: u64) {
         let now = self.now();
         let mut endpoints = self.endpoints.borrow_mut();
-        let mut changed = !endpoints.expire(now).is_empty();
+        let mut applied: Vec<Change> =
+            endpoints.expire(now).into_iter().map(Change::Gone).collect();
         for change in changes {
-            let line = describe(&change);
-            if endpoints.apply(change, now) {
-                spdlog::info!("endpoints: {line} offset={offset}");
-                changed = true;
+            if endpoints.apply(change.clone(), now) {
+                spdlog::info!("endpoints: {} offset={offset}", describe(&change));
+                applied.push(change);
             }
         }
         self.endpoints_offset.set(offset);
-        if changed {
-            self.fleet.borrow_mut().update(endpoints.iter(), self.clock);
+        if !applied.is_empty() {
+            let before = self.digest.get();
+            self.list_changed(&endpoints);
+            self.news.borrow_mut().add(before, self.digest.get(), applied);
+        }
+    }
+
+    /// Takes over changes that another gateway has read, if they follow on the
+    /// list that this one has.
+    pub(crate) fn adopt_news(&self, news: News, stamp: &Stamp) {
+        if news.before != self.digest.get() || news.changes.is_empty() {
+            return;
+        }
+        let mut endpoints = self.endpoints.borrow_mut();
+        for change in &news.changes {
+            spdlog::info!("endpoints: {} offset={} source=peer", describe(change), stamp.offset);
+        }
+        endpoints.adopt_changes(news.changes);
+        self.list_changed(&endpoints);
+    }
+
+    /// Takes over another gateway's list of endpoints as of `offset`.
+    pub(crate) fn adopt_endpoints(
+        &self,
+        entries: Vec<mimosaledge_policy::Endpoint>,
+        offset: u64,
+        source: &str,
+    ) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        spdlog::info!("endpoints: listed={} offset={offset} source={source}", entries.len());
+        endpoints.adopt(entries);
+        self.endpoints_offset.set(offset);
+        self.list_changed(&endpoints);
+    }
+
+    /// Brings requests in line with a changed list.
+    fn list_changed(&self, endpoints: &Endpoints) {
+        self.digest.set(endpoints.digest());
+        self.fleet.borrow_mut().update(endpoints.iter(), self.clock);
+    }
+
+    /// Returns what this gateway knows, to compare with others.
+    pub(crate) fn stamp(&self) -> Stamp {
+        Stamp {
+            version: self.version(),
+            offset: self.endpoints_offset.get(),
+            digest: self.digest.get(),
+            age_ms: self.now().since(self.list_heard.get()),
         }
     }
 
+    /// Takes in what another gateway knows.
+    pub(crate) fn hear_stamp(&self, stamp: &Stamp) {
+        if stamp.digest != self.digest.get() {
+            return;
+        }
+        let heard = self.hear_list(stamp.age_ms);
+        self.endpoints_offset.set(self.endpoints_offset.get().max(stamp.offset));
+        if stamp.version == self.version() {
+            self.config_heard.set(self.config_heard.get().max(heard));
+        }
+    }
+
+    /// Notes a word on the list of endpoints that is `age_ms` old; returns when
+    /// the list was read.
+    pub(crate) fn hear_list(&self, age_ms: u64) -> Millis {
+        let heard = self.now() - age_ms;
+        self.list_heard.set(self.list_heard.get().max(heard));
+        heard
+    }
+
+    /// Returns the age of the newest word on the list of endpoints, in
+    /// milliseconds.
+    pub(crate) fn list_age_ms(&self) -> u64 {
+        self.now().since(self.list_heard.get())
+    }
+
     /// Replaces the list of endpoints as of `offset`.
     pub(crate) fn replace_endpoints(
         &self,
@@ -163,7 +255,7 @@
         spdlog::info!("endpoints: listed={} offset={offset} source={source}", entries.len());
         endpoints.replace(entries, self.now());
         self.endpoints_offset.set(offset);
-        self.fleet.borrow_mut().update(endpoints.iter(), self.clock);
+        self.list_changed(&endpoints);
     }
 
     /// Returns the gateways that are alive, this one included.
@@ -176,7 +268,7 @@
         let mut endpoints = self.endpoints.borrow_mut();
         if endpoints.apply(Change::Gone(id.clone()), self.now()) {
             spdlog::info!("endpoints: id={id} gone=true cause=misdirected");
-            self.fleet.borrow_mut().update(endpoints.iter(), self.clock);
+            self.list_changed(&endpoints);
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,8 +52,8 @@
         let resumes =
             IntCounter::new("mimosaledge_resumes_total", "Streams resumed at a further endpoint.")?;
         let store_calls = IntCounterVec::new(
-            Opts::new("mimosaledge_store_calls_total", "Calls to the store by outcome."),
-            &["outcome"],
+            Opts::new("mimosaledge_store_calls_total", "Calls to the store by topic and outcome."),
+            &["topic", "outcome"],
         )?;
         let version =
             IntGauge::new("mimosaledge_config_version", "Version of the configuration in force.")?;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,12 +11,15 @@
     time::Duration,
 };
 
-use mimosaledge_core::Millis;
+use mimosaledge_core::{Millis, hash::hash64};
+use mimosaledge_policy::endpoints::Change;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, task::spawn_local, time};
 
 use crate::{gateway::Gateway, settings::Settings, sync};
 
+/// Gateways that read the list of endpoints for all.
+const READERS: usize = 2;
 /// Shortest pause between two rounds of heartbeats, in milliseconds.
 const ROUND_MS: u64 = 400;
 /// Pause that each further gateway adds, in milliseconds, so that the traffic
@@ -32,6 +35,8 @@
 const NAMED_PEERS: usize = 12;
 /// Time for which a death is told, in milliseconds.
 const TELL_DEATH_MS: u64 = 3_000;
+/// Most changes of the list of endpoints in one datagram; others copy the list.
+const MAX_NEWS: usize = 32;
 /// Most deaths in one heartbeat.
 const MAX_DEATHS: usize = 24;
 /// Largest datagram, in bytes.
@@ -51,12 +56,59 @@
     requests: u16,
 }
 
+/// What a gateway knows of configuration and endpoints.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Stamp {
+    /// Version of the configuration.
+    pub(crate) version: u64,
+    /// How far the list of endpoints has been read.
+    pub(crate) offset: u64,
+    /// Digest of that list.
+    pub(crate) digest: u64,
+    /// Time since it was read, in milliseconds.
+    pub(crate) age_ms: u64,
+}
+
+/// Changes of the list of endpoints that a gateway has read.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct News {
+    /// Digest of the list that the changes follow on.
+    pub(crate) before: u64,
+    /// The changes.
+    pub(crate) changes: Vec<Change>,
+    #[serde(skip)]
+    after: u64,
+}
+
+impl News {
+    /// Adds changes that lead from one digest to another.
+    pub(crate) fn add(&mut self, before: u64, after: u64, changes: Vec<Change>) {
+        if self.changes.is_empty() || self.after != before {
+            *self = News { before, changes, after };
+        } else {
+            self.changes.extend(changes);
+            self.after = after;
+        }
+        if self.changes.len() > MAX_NEWS {
+            self.changes.clear();
+        }
+    }
+}
+
+/// A datagram between gateways.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+enum Message {
+    /// Sent by all, at a pace that falls with their number.
+    Heartbeat(Heartbeat),
+    /// Sent by those that have just read the list of endpoints.
+    Stamp(Stamp, News),
+}
+
 /// What one gateway tells the others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Heartbeat {
     ready: bool,
-    version: u64,
-    offset: u64,
+    stamp: Stamp,
     loads: Vec<Load>,
     deaths: Vec<Death>,
     known: Vec<Ipv4Addr>,
@@ -67,8 +119,7 @@
     heard: Option<Millis>,
     added: Millis,
     ready: bool,
-    version: u64,
-    offset: u64,
+    stamp: Stamp,
     loads: Vec<Load>,
 }
 
@@ -90,7 +141,7 @@
             loads: HashMap::new(),
             deaths: Vec::new(),
         };
-        for seed in &settings.seeds {
+        for seed in settings.seeds.iter().flatten() {
             peers.add(*seed.ip(), now);
         }
         peers
@@ -121,17 +172,28 @@
         self.loads.get(&(node as u32)).copied().unwrap_or(0)
     }
 
-    /// Returns a live gateway that knows a later list of endpoints than
-    /// `offset`, or a later configuration than `version`.
-    pub(crate) fn ahead(&self, version: u64, offset: u64, now: Millis) -> Option<Ipv4Addr> {
+    /// Returns a live gateway that knows a later configuration than `own`, or
+    /// another list of endpoints that is later, if `lists` are asked for.
+    pub(crate) fn ahead(&self, own: Stamp, lists: bool, now: Millis) -> Option<Ipv4Addr> {
+        let has_list = |it: Stamp| lists && it.digest != own.digest && it.offset > own.offset;
         self.peers
             .iter()
             .filter(|(_, it)| self.is_alive(it, now))
-            .filter(|(_, it)| it.version > version || it.offset > offset)
-            .max_by_key(|(_, it)| (it.version, it.offset))
+            .filter(|(_, it)| it.stamp.version > own.version || has_list(it.stamp))
+            .max_by_key(|(_, it)| (it.stamp.version, it.stamp.offset))
             .map(|(address, _)| *address)
     }
 
+    /// Returns whether this gateway is one of the [`READERS`] that read the
+    /// list of endpoints for all.
+    pub(crate) fn is_reader(&self, now: Millis) -> bool {
+        let own = reader_rank(self.own);
+        let able = |it: &Peer| it.stamp.offset > 0 && self.is_alive(it, now);
+        let before =
+            self.peers.iter().filter(|(at, it)| able(it) && reader_rank(**at) > own).count();
+        before < READERS
+    }
+
     /// Tells the others of a request that was open when an endpoint died.
     pub(crate) fn tell_death(&mut self, fingerprint: u64, endpoint: u64, now: Millis) {
         self.deaths.push((Death { fingerprint, endpoint }, now));
@@ -145,6 +207,12 @@
         ROUND_MS + ROUND_MS_PER_PEER * self.peers.len() as u64
     }
 
+    fn receive_stamp(&mut self, from: Ipv4Addr, stamp: Stamp) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.stamp = stamp;
+        }
+    }
+
     fn receive(&mut self, from: Ipv4Addr, beat: Heartbeat, now: Millis) {
         self.add(from, now);
         for address in beat.known {
@@ -152,12 +220,15 @@
         }
         let Some(peer) = self.peers.get_mut(&from) else { return };
         if peer.ready != beat.ready || peer.heard.is_none() {
-            spdlog::info!("peer: address={from} ready={} version={}", beat.ready, beat.version);
+            spdlog::info!(
+                "peer: address={from} ready={} version={}",
+                beat.ready,
+                beat.stamp.version
+            );
         }
         peer.heard = Some(now);
         peer.ready = beat.ready;
-        peer.version = beat.version;
-        peer.offset = beat.offset;
+        peer.stamp = beat.stamp;
         peer.loads = beat.loads;
         self.sum_loads(now);
     }
@@ -188,8 +259,7 @@
 }
 
 /// Sends and receives heartbeats for as long as the gateway runs.
-pub(crate) async fn exchange(gateway: Rc<Gateway>, socket: UdpSocket) {
-    let socket = Rc::new(socket);
+pub(crate) async fn exchange(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     spawn_local(receive(gateway.clone(), socket.clone()));
     let mut round = 0;
     loop {
@@ -208,19 +278,40 @@
         peers.sum_loads(now);
         (peers.recipients(round, now), peers.round_ms())
     };
-    let beat = match postcard::to_stdvec(&heartbeat(gateway, now)) {
-        Ok(beat) => beat,
+    send(gateway, socket, &Message::Heartbeat(heartbeat(gateway, now)), &recipients).await;
+    pause_ms
+}
+
+/// Tells all live gateways that the list of endpoints has just been read.
+pub(crate) async fn send_stamp(gateway: &Gateway) {
+    let Some(socket) = gateway.beats.get() else { return };
+    let now = gateway.now();
+    let recipients: Vec<Ipv4Addr> = {
+        let peers = gateway.peers.borrow();
+        let alive = peers.peers.iter().filter(|(_, it)| peers.is_alive(it, now));
+        alive.map(|(address, _)| *address).collect()
+    };
+    let news = std::mem::take(&mut *gateway.news.borrow_mut());
+    send(gateway, socket, &Message::Stamp(gateway.stamp(), news), &recipients).await;
+}
+
+async fn send(gateway: &Gateway, socket: &UdpSocket, message: &Message, to: &[Ipv4Addr]) {
+    let bytes = match postcard::to_stdvec(message) {
+        Ok(bytes) => bytes,
         Err(err) => {
-            spdlog::error!("peer: cannot encode a heartbeat, cause={err}");
-            return pause_ms;
+            spdlog::error!("peer: cannot encode a datagram, cause={err}");
+            return;
         }
     };
     let port = gateway.settings.listen.peers;
-    for address in recipients {
-        // A heartbeat that is lost is followed by another.
-        let _ = socket.send_to(&beat, (address, port)).await;
+    for address in to {
+        // A datagram that is lost is followed by another.
+        let _ = socket.send_to(&bytes, (*address, port)).await;
     }
-    pause_ms
+}
+
+fn reader_rank(address: Ipv4Addr) -> u64 {
+    hash64(&address.octets())
 }
 
 fn heartbeat(gateway: &Gateway, now: Millis) -> Heartbeat {
@@ -236,8 +327,7 @@
     let peers = gateway.peers.borrow();
     Heartbeat {
         ready: gateway.is_ready(),
-        version: gateway.version(),
-        offset: gateway.endpoints_offset.get(),
+        stamp: gateway.stamp(),
         loads,
         deaths: peers.deaths.iter().rev().take(MAX_DEATHS).map(|(death, _)| *death).collect(),
         known: peers.ready(now).take(NAMED_PEERS).collect(),
@@ -257,15 +347,33 @@
             }
         };
         let SocketAddr::V4(from) = from else { continue };
-        let Ok(beat) = postcard::from_bytes::<Heartbeat>(&buffer[..length]) else {
-            spdlog::warn!("peer: unreadable heartbeat, address={from} bytes={length}");
-            continue;
-        };
-        let now = gateway.now();
-        for death in &beat.deaths {
-            gateway.crashers.borrow_mut().blame(death.fingerprint, death.endpoint, now);
+        match postcard::from_bytes::<Message>(&buffer[..length]) {
+            Ok(message) => take_message(&gateway, *from.ip(), message),
+            Err(_) => {
+                spdlog::warn!("peer: unreadable datagram, address={from} bytes={length}");
+                continue;
+            }
         }
-        gateway.peers.borrow_mut().receive(*from.ip(), beat, now);
         sync::catch_up(&gateway, &syncing);
     }
 }
+
+fn take_message(gateway: &Gateway, from: Ipv4Addr, message: Message) {
+    let now = gateway.now();
+    let stamp = match message {
+        Message::Stamp(stamp, news) => {
+            gateway.adopt_news(news, &stamp);
+            gateway.peers.borrow_mut().receive_stamp(from, stamp);
+            stamp
+        }
+        Message::Heartbeat(beat) => {
+            for death in &beat.deaths {
+                gateway.crashers.borrow_mut().blame(death.fingerprint, death.endpoint, now);
+            }
+            let stamp = beat.stamp;
+            gateway.peers.borrow_mut().receive(from, beat, now);
+            stamp
+        }
+    };
+    gateway.hear_stamp(&stamp);
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -71,6 +71,8 @@
     let beats = UdpSocket::bind((settings.address, settings.listen.peers))
         .await
         .wrap_err("cannot bind the port for peers")?;
+    let beats = Rc::new(beats);
+    gateway.beats.get_or_init(|| beats.clone());
     let accepting = listen_all(&gateway)?;
     spawn_local(follow::follow_config(gateway.clone()));
     spawn_local(follow::follow_endpoints(gateway.clone()));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -62,9 +62,10 @@
     pub data_centre: Name,
     /// Where it listens.
     pub listen: Listen,
-    /// Addresses of other gateways that may be up.
+    /// Addresses of other gateways that may be up; a template that has none to
+    /// fill in leaves this empty.
     #[serde(default)]
-    pub seeds: Vec<SocketAddrV4>,
+    pub seeds: Option<Vec<SocketAddrV4>>,
     /// The platform's store.
     pub store: StoreSettings,
     /// The operators' bounds.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -3,6 +3,7 @@
 
 use std::{cell::Cell, io, net::Ipv4Addr, rc::Rc, time::Duration};
 
+use mimosaledge_core::hash::hash64;
 use mimosaledge_policy::{Endpoint, FleetConfig};
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -16,8 +17,12 @@
 
 /// Longest time for one copy.
 const COPY_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Pause after a copy before the next.
-const COPY_PAUSE: Duration = Duration::from_millis(400);
+/// Wait before a copy.
+const COPY_DELAY: Duration = Duration::from_millis(120);
+/// Spread of that wait over gateways, in milliseconds.
+const COPY_SPREAD_MS: u64 = 300;
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(400);
 /// Largest message, in bytes.
 const MAX_MESSAGE: u32 = 8 << 20;
 
@@ -36,30 +41,42 @@
     config: Option<FleetConfig>,
     endpoints: Option<Vec<Endpoint>>,
     offset: u64,
+    /// Time since the list of endpoints was read, in milliseconds.
+    age_ms: u64,
 }
 
 /// Starts a copy if another gateway is ahead and no copy is under way.
 pub(crate) fn catch_up(gateway: &Rc<Gateway>, syncing: &Rc<Cell<bool>>) {
-    let list_away = !gateway.follows_endpoints();
-    let offset = if list_away { gateway.endpoints_offset.get() } else { u64::MAX };
-    let ahead = gateway.peers.borrow().ahead(gateway.version(), offset, gateway.now());
-    let Some(address) = ahead.filter(|_| !syncing.get()) else {
+    if syncing.get() || gateway_ahead(gateway).is_none() {
         return;
-    };
+    }
     syncing.set(true);
     let (gateway, syncing) = (gateway.clone(), syncing.clone());
     spawn_local(async move {
-        let want = Want { version: gateway.version(), offset };
-        match timeout(COPY_TIMEOUT, copy(&gateway, address, want)).await {
-            Ok(Ok(state)) => apply(&gateway, state, address),
-            Ok(Err(err)) => spdlog::info!("sync: address={address} failed, cause={err}"),
-            Err(_) => spdlog::info!("sync: address={address} failed, cause=timeout"),
+        // The store or a datagram mostly brings what is missing meanwhile.
+        let spread_ms = hash64(gateway.settings.name.as_bytes()) % COPY_SPREAD_MS;
+        sleep(COPY_DELAY + Duration::from_millis(spread_ms)).await;
+        if let Some(address) = gateway_ahead(&gateway) {
+            copy_from(&gateway, address).await;
         }
-        sleep(COPY_PAUSE).await;
         syncing.set(false);
     });
 }
 
+fn gateway_ahead(gateway: &Gateway) -> Option<Ipv4Addr> {
+    let lists = !gateway.reads_endpoints();
+    gateway.peers.borrow().ahead(gateway.stamp(), lists, gateway.now())
+}
+
+async fn copy_from(gateway: &Gateway, address: Ipv4Addr) {
+    let want = Want { version: gateway.version(), offset: gateway.endpoints_offset.get() };
+    match timeout(COPY_TIMEOUT, copy(gateway, address, want)).await {
+        Ok(Ok(state)) => apply(gateway, state, address),
+        Ok(Err(err)) => spdlog::info!("sync: address={address} failed, cause={err}"),
+        Err(_) => spdlog::info!("sync: address={address} failed, cause=timeout"),
+    }
+}
+
 /// Answers other gateways' requests for a copy.
 pub(crate) async fn serve_copies(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
@@ -76,7 +93,7 @@
             }
             Err(err) => {
                 spdlog::warn!("sync: cannot accept, cause={err}");
-                sleep(COPY_PAUSE).await;
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
@@ -96,9 +113,10 @@
     }
     if let Some(endpoints) = state.endpoints
         && state.offset > gateway.endpoints_offset.get()
-        && !gateway.follows_endpoints()
+        && !gateway.reads_endpoints()
     {
-        gateway.replace_endpoints(endpoints, state.offset, &source);
+        gateway.adopt_endpoints(endpoints, state.offset, &source);
+        gateway.hear_list(state.age_ms);
     }
 }
 
@@ -115,6 +133,7 @@
         endpoints: (offset > want.offset)
             .then(|| gateway.endpoints.borrow().iter().cloned().collect()),
         offset,
+        age_ms: gateway.list_age_ms(),
     };
     write_message(&mut stream, &state).await
 }
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -7,7 +7,8 @@
 
 use std::collections::HashMap;
 
-use mimosaledge_core::{Millis, Name};
+use mimosaledge_core::{Millis, Name, hash::hash64};
+use serde::{Deserialize, Serialize};
 
 use crate::endpoint::{Endpoint, EndpointState};
 
@@ -16,7 +17,7 @@
 pub const RETURN_GRACE_MS: u64 = 2_300;
 
 /// A change of the set of endpoints.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// An endpoint is new, or its entry or incarnation has changed.
     Listed(Endpoint),
@@ -73,6 +74,35 @@
         }
     }
 
+    /// Takes over the list of another gateway, which has held what is to be
+    /// held.
+    pub fn adopt(&mut self, entries: Vec<Endpoint>) {
+        self.held.clear();
+        self.listed = entries.into_iter().map(|it| (it.id.clone(), it)).collect();
+    }
+
+    /// Takes over changes of another gateway's list, which has held what is to
+    /// be held.
+    pub fn adopt_changes(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Listed(endpoint) => {
+                    self.held.remove(&endpoint.id);
+                    self.listed.insert(endpoint.id.clone(), endpoint);
+                }
+                Change::Gone(id) => {
+                    self.held.remove(&id);
+                    self.listed.remove(&id);
+                }
+            }
+        }
+    }
+
+    /// Returns a number that differs between lists that differ.
+    pub fn digest(&self) -> u64 {
+        self.listed.values().fold(0, |sum, it| sum ^ entry_digest(it))
+    }
+
     /// Returns whether the list cannot be read, or has not been read yet.
     pub fn is_away(&self) -> bool {
         self.away || !self.read
@@ -138,3 +168,12 @@
         self.away || self.returned.is_some_and(|at| now.since(at) < RETURN_GRACE_MS)
     }
 }
+
+fn entry_digest(it: &Endpoint) -> u64 {
+    let born = it.born.unwrap_or_default();
+    let text = format!(
+        "{}\n{born}\n{}\n{}\n{}\n{}\n{:?}",
+        it.id, it.service, it.address, it.data_centre, it.slots, it.state
+    );
+    hash64(text.as_bytes())
+}
