--- /dev/null
+++ b/crates/policy/tests/decisions.rs
@@ -0,0 +1,296 @@
+//! The smaller decisions, each by the failures that it answers.
+
+use assert_matches::assert_matches;
+use mimosaledge_core::{Millis, Name};
+use mimosaledge_policy::{
+    Endpoint, EndpointState, FleetConfig, Limits, Repeat, Route, Target,
+    cached::{CachedPrefixes, fetch_source},
+    config::{Denial, RouteTable, Workspace},
+    crashers::{CRASH_LIMIT, Crashers, FORGET_MS},
+    endpoints::{Change, Endpoints, RETURN_GRACE_MS},
+    events::EventCutter,
+    health::{Health, Outcome},
+    retry_budget::{RetryBudget, RetryLimit},
+};
+use proptest::prelude::*;
+
+const NOW: Millis = Millis(1_000_000);
+
+fn endpoint(id: &str, state: EndpointState) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        born: None,
+        service: "app".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "hall-1".into(),
+        slots: 8,
+        state,
+    }
+}
+
+fn listed(id: &str) -> Change {
+    Change::Listed(endpoint(id, EndpointState::Ready))
+}
+
+fn gone(id: &str) -> Change {
+    Change::Gone(id.into())
+}
+
+fn route(prefix: &str, anonymous: bool) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "Host.example".into(),
+        prefix: prefix.into(),
+        targets: vec![
+            Target { service: "a".into(), weight: 3 },
+            Target { service: "b".into(), weight: 1 },
+        ],
+        repeat: Repeat::Never,
+        streaming: false,
+        anonymous,
+        sticky: false,
+        timeout_ms: 1_000,
+        goal_ms: 100,
+        gap_ms: 0,
+        priority: 2,
+        max_attempts: 1,
+    }
+}
+
+fn table() -> RouteTable {
+    let workspace = Workspace {
+        name: "firm".into(),
+        priority: Some(0),
+        keys: vec!["k-1".into(), "k-2".into()],
+    };
+    RouteTable::from_config(&FleetConfig {
+        version: 4,
+        routes: vec![route("/a/", false), route("/a/b/", true)],
+        services: Vec::new(),
+        limits: Limits::default(),
+        workspaces: Some(vec![workspace]),
+    })
+}
+
+#[test]
+fn longest_prefix_wins() {
+    let table = table();
+    let found = |path| table.find_route("host.EXAMPLE:80", path).map(|it| &*it.prefix);
+    assert_eq!(found("/a/x"), Some("/a/"));
+    assert_eq!(found("/a/b/x"), Some("/a/b/"));
+    assert_eq!(found("/a/bx"), Some("/a/"));
+    assert_eq!(found("/ab/"), None);
+    assert_eq!(table.find_route("other", "/a/x").map(|it| &*it.prefix), None);
+}
+
+#[test]
+fn keys_name_workspaces_and_their_priority() {
+    let table = table();
+    let admitted = table.admit("host.example", "/a/x", Some("k-2")).unwrap();
+    assert_eq!((admitted.workspace.as_deref(), admitted.priority), (Some("firm"), 0));
+    assert_matches!(table.admit("host.example", "/a/x", Some("k-3")), Err(Denial::NoWorkspace));
+    assert_matches!(table.admit("host.example", "/a/x", None), Err(Denial::NoWorkspace));
+    assert_matches!(table.admit("host.example", "/z/x", Some("k-1")), Err(Denial::NoRoute));
+    let anonymous = table.admit("host.example", "/a/b/x", None).unwrap();
+    assert_eq!((anonymous.workspace, anonymous.priority), (None, 2));
+}
+
+#[test]
+fn weights_split_requests() {
+    let route = route("/a/", true);
+    let to_a = (0..4_000).filter(|key| route.select_service(*key).is_some_and(|it| &**it == "a"));
+    assert_eq!(to_a.count(), 3_000);
+}
+
+#[test]
+fn entry_that_goes_in_calm_is_gone_at_once() {
+    let mut endpoints = Endpoints::default();
+    endpoints.list_returned(NOW);
+    assert!(endpoints.apply(listed("i-1"), NOW));
+    assert!(!endpoints.apply(listed("i-1"), NOW), "a heartbeat changes nothing");
+    assert!(endpoints.apply(gone("i-1"), NOW + RETURN_GRACE_MS));
+    assert_eq!(endpoints.iter().count(), 0);
+}
+
+#[test]
+fn entry_that_lapses_in_an_outage_is_held_until_it_returns() {
+    let mut endpoints = Endpoints::default();
+    endpoints.apply(listed("i-1"), NOW);
+    endpoints.apply(listed("i-2"), NOW);
+    endpoints.list_lost();
+    endpoints.list_returned(NOW);
+    endpoints.apply(gone("i-1"), NOW);
+    endpoints.apply(gone("i-2"), NOW);
+    assert!(endpoints.expire(NOW + RETURN_GRACE_MS - 1).is_empty());
+    assert_eq!(endpoints.iter().count(), 2);
+    endpoints.apply(listed("i-2"), NOW + 1_500);
+    assert_eq!(endpoints.expire(NOW + RETURN_GRACE_MS), [Name::from("i-1")]);
+    assert!(endpoints.get("i-2").is_some());
+}
+
+#[test]
+fn draining_entry_is_not_held() {
+    let mut endpoints = Endpoints::default();
+    endpoints.apply(Change::Listed(endpoint("i-1", EndpointState::Draining)), NOW);
+    endpoints.list_lost();
+    assert!(!endpoints.any_ready());
+    assert!(endpoints.apply(gone("i-1"), NOW));
+}
+
+#[test]
+fn list_read_anew_drops_what_is_missing() {
+    let mut endpoints = Endpoints::default();
+    endpoints.apply(listed("i-1"), NOW);
+    let before = endpoints.digest();
+    endpoints.replace(vec![endpoint("i-2", EndpointState::Ready)], NOW);
+    assert!(endpoints.get("i-1").is_none() && endpoints.get("i-2").is_some());
+    assert_ne!(endpoints.digest(), before);
+    let mut copy = Endpoints::default();
+    copy.adopt(endpoints.iter().cloned().collect());
+    assert_eq!(copy.digest(), endpoints.digest());
+    copy.adopt_changes(vec![listed("i-1"), gone("i-2")]);
+    assert_eq!(copy.digest(), before);
+}
+
+#[test]
+fn repeats_stay_within_the_shared_budget() {
+    let service = Name::from("app");
+    let limit = RetryLimit { ratio: 0.2, slack: 56.0, window_ms: 10_000 };
+    let (gateways, requests) = (8, 100);
+    let mut repeats = 0;
+    for _ in 0..gateways {
+        let mut budget = RetryBudget::from_limit(limit);
+        for number in 0..requests {
+            budget.note_request(&service, NOW + number);
+        }
+        repeats +=
+            (0..requests).filter(|it| budget.take(&service, gateways, NOW + 100 + *it)).count();
+    }
+    let allowed = 0.2 * f64::from(gateways as u32 * requests as u32) + 56.0;
+    assert!(repeats as f64 <= allowed, "{repeats} repeats");
+    assert!(repeats as f64 >= allowed * 0.7, "{repeats} repeats of {allowed}");
+}
+
+#[test]
+fn budget_comes_back_with_time() {
+    let service = Name::from("app");
+    let limit = RetryLimit { ratio: 0.0, slack: 2.0, window_ms: 1_000 };
+    let mut budget = RetryBudget::from_limit(limit);
+    assert!(budget.take(&service, 1, NOW));
+    assert!(!budget.take(&service, 1, NOW + 999));
+    assert!(budget.take(&service, 1, NOW + 1_000));
+}
+
+#[test]
+fn unreachable_endpoint_is_tried_again_at_growing_pauses() {
+    let mut health = Health::default();
+    health.note(Outcome::Unreachable, NOW);
+    assert!(!health.is_up());
+    let trials: Vec<u64> = (0..5_000).filter(|ms| health.take_trial(NOW + *ms)).collect();
+    assert!(trials.len() >= 4 && trials.len() <= 8, "{trials:?}");
+    health.note_reachable();
+    assert!(health.is_up());
+}
+
+#[test]
+fn endpoint_silent_twice_is_down_and_one_answer_clears_it() {
+    let mut health = Health::default();
+    health.note(Outcome::Silent, NOW);
+    health.note(Outcome::Answered, NOW);
+    health.note(Outcome::Silent, NOW);
+    assert!(health.is_up());
+    health.note(Outcome::Silent, NOW);
+    assert!(!health.is_up());
+}
+
+#[test]
+fn failures_fade() {
+    let mut health = Health::default();
+    for _ in 0..20 {
+        health.note(Outcome::Failed, NOW);
+    }
+    assert!(health.is_up() && health.failing(NOW) > 0.8);
+    assert!(health.failing(NOW + 30_000) < 0.01);
+}
+
+#[test]
+fn crashing_request_is_blocked_after_distinct_deaths() {
+    let mut crashers = Crashers::default();
+    assert!(crashers.blame(7, 1, NOW));
+    assert!(!crashers.blame(7, 1, NOW), "one death counts once");
+    assert!(!crashers.is_blocked(7, NOW));
+    for death in 2..=CRASH_LIMIT as u64 {
+        crashers.blame(7, death, NOW);
+    }
+    assert!(crashers.is_blocked(7, NOW));
+    assert!(!crashers.is_blocked(8, NOW));
+    assert!(!crashers.is_blocked(7, NOW + FORGET_MS));
+    crashers.acquit(7);
+    assert!(!crashers.is_blocked(7, NOW));
+}
+
+#[test]
+fn moved_session_fetches_its_prefix_from_where_it_was() {
+    let mut cached = CachedPrefixes::default();
+    let nodes = [11, 22, 33];
+    let home = fetch_source(5, 0, &nodes, &cached, NOW).map(|at| nodes[at]);
+    assert_matches!(home, Some(_));
+    cached.note(5, 22, NOW);
+    assert_eq!(fetch_source(5, 11, &nodes, &cached, NOW), Some(1));
+    assert_eq!(fetch_source(5, 22, &nodes, &cached, NOW), None, "it has the prefix");
+    assert_eq!(fetch_source(5, 11, &[11], &cached, NOW), None, "there is no other engine");
+}
+
+fn stream(from: u64, to: u64) -> String {
+    (from..=to).map(|id| format!("id: {id}\ndata: x\n\n")).collect()
+}
+
+#[test]
+fn resumed_stream_has_no_gap_and_no_event_twice() {
+    let mut cutter = EventCutter::default();
+    let mut out = Vec::new();
+    cutter.push(format!("{}id: 4\nda", stream(1, 3)).as_bytes(), &mut out).unwrap();
+    assert!(!cutter.is_whole());
+    assert_eq!(cutter.last_id(), Some(3));
+    cutter.restart();
+    cutter.push(stream(3, 6).as_bytes(), &mut out).unwrap();
+    assert!(cutter.is_whole());
+    assert_eq!(String::from_utf8(out).unwrap(), stream(1, 6));
+    cutter.restart();
+    cutter.push(stream(8, 8).as_bytes(), &mut Vec::new()).unwrap_err();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn pieces_of_any_size_make_the_same_events(cuts in prop::collection::vec(1usize..30, 1..40)) {
+        let whole = stream(1, 20);
+        let mut cutter = EventCutter::default();
+        let mut out = Vec::new();
+        let mut rest = whole.as_bytes();
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (piece, after) = rest.split_at((*cut).min(rest.len()));
+            cutter.push(piece, &mut out).unwrap();
+            rest = after;
+        }
+        prop_assert_eq!(out, whole.as_bytes());
+        prop_assert_eq!(cutter.last_id(), Some(20));
+    }
+
+    #[test]
+    fn any_bytes_leave_the_cutter_sound(pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..20)) {
+        let mut cutter = EventCutter::default();
+        let mut out = Vec::new();
+        let total: usize = pieces.iter().map(Vec::len).sum();
+        for piece in &pieces {
+            if cutter.push(piece, &mut out).is_err() {
+                break;
+            }
+        }
+        prop_assert!(out.len() <= total);
+    }
+}
