Give a hot prompt prefix as many homes as its running requests need

Ruled out: the bound itself (the mean was known well). Heartbeats now tell requests by prefix, come twice as often, and name fewer gateways; a prefix whose running requests exceed the room below the bound is spread over more engines.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -9,7 +9,7 @@
 use mimosaledge_policy::{
     Repeat, cached,
     health::Outcome,
-    placement::{self, Candidate},
+    placement::{self, Candidate, Prefix},
 };
 use tokio::{
     task::spawn_local,
@@ -19,9 +19,10 @@
 use crate::{
     answer::{Code, Refusal},
     dialect::{Answer, Forward},
-    fleet::{InFlight, Slot},
+    fleet::Slot,
     gateway::Gateway,
     headers::strip_connection_headers,
+    loads::InFlight,
     pool::{Connection, SendError},
     relay,
     request::Job,
@@ -142,7 +143,7 @@
 fn place(gateway: &Gateway, job: &Job, tries: &Tries) -> Option<Rc<Slot>> {
     let now = gateway.now();
     let fleet = gateway.fleet.borrow();
-    let peers = gateway.peers.borrow();
+    let loads = gateway.loads.borrow();
     let open: Vec<&Rc<Slot>> = fleet
         .of_service(&job.service)
         .iter()
@@ -150,10 +151,12 @@
         .collect();
     let candidates: Vec<Candidate> = open
         .iter()
-        .map(|it| it.to_candidate(&gateway.settings.data_centre, peers.load_of(it.node()), now))
+        .map(|it| it.to_candidate(&gateway.settings.data_centre, loads.at_peers(it.node()), now))
         .collect();
     let pick = mimosaledge_core::hash::hash64(job.ask.attempt.as_bytes());
-    let at = placement::choose(job.prefix, &candidates, pick)?;
+    let prefix =
+        job.prefix.map(|key| Prefix { key, running: f64::from(loads.with_prefix(key) + 1) });
+    let at = placement::choose(prefix, &candidates, pick)?;
     let chosen = &candidates[at];
     spdlog::info!(
         "place: id={} route={} endpoint={} load={} near={} failing={:.2} open={} sent={} config={}",
@@ -194,7 +197,7 @@
     last_event: Option<u64>,
     limit_ms: u64,
 ) -> Result<Open, Failure> {
-    let in_flight = InFlight::enter(slot.clone());
+    let in_flight = InFlight::enter(slot.clone(), job.prefix, gateway.loads.clone());
     let request = forward(gateway, job, slot, last_event);
     let sent = timeout(Duration::from_millis(limit_ms), slot.pool.send(request)).await;
     let now = gateway.now();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -48,9 +48,14 @@
         self.endpoint.borrow().id.clone()
     }
 
-    /// Returns the requests of this gateway that the endpoint holds.
-    pub(crate) fn in_flight(&self) -> u32 {
-        self.in_flight.get()
+    /// Counts a request of this gateway.
+    pub(crate) fn enter(&self) {
+        self.in_flight.set(self.in_flight.get() + 1);
+    }
+
+    /// Stops counting a request of this gateway.
+    pub(crate) fn leave(&self) {
+        self.in_flight.set(self.in_flight.get() - 1);
     }
 
     /// Notes how a request ended.
@@ -100,31 +105,6 @@
     }
 }
 
-/// Counts a request at an endpoint until it is dropped.
-#[derive(Debug)]
-pub(crate) struct InFlight {
-    slot: Rc<Slot>,
-}
-
-impl InFlight {
-    /// Counts a request at `slot`.
-    pub(crate) fn enter(slot: Rc<Slot>) -> InFlight {
-        slot.in_flight.set(slot.in_flight.get() + 1);
-        InFlight { slot }
-    }
-
-    /// Returns the endpoint.
-    pub(crate) fn slot(&self) -> &Rc<Slot> {
-        &self.slot
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.slot.in_flight.set(self.slot.in_flight.get() - 1);
-    }
-}
-
 /// All endpoints, by service.
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod front;
 mod gateway;
 mod headers;
+mod loads;
 mod log_sink;
 mod metrics;
 mod peers;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, task::spawn_local, time};
 
-use crate::{gateway::Gateway, settings::Settings, sync};
+use crate::{gateway::Gateway, loads::Load, settings::Settings, sync};
 
 /// Gateways that read the list of endpoints for all.
 const READERS: usize = 2;
@@ -24,7 +24,7 @@
 const ROUND_MS: u64 = 400;
 /// Pause that each further gateway adds, in milliseconds, so that the traffic
 /// of one gateway stays the same however many there are.
-const ROUND_MS_PER_PEER: u64 = 20;
+const ROUND_MS_PER_PEER: u64 = 9;
 /// Rounds without a heartbeat after which a gateway is taken for dead.
 const DEAD_ROUNDS: u64 = 4;
 /// Dead gateways are sent a heartbeat once in so many rounds.
@@ -32,7 +32,7 @@
 /// Time after which a dead gateway is forgotten, in milliseconds.
 const FORGET_MS: u64 = 60_000;
 /// Other gateways named in a heartbeat.
-const NAMED_PEERS: usize = 12;
+const NAMED_PEERS: usize = 4;
 /// Time for which a death is told, in milliseconds.
 const TELL_DEATH_MS: u64 = 3_000;
 /// Most changes of the list of endpoints in one datagram; others copy the list.
@@ -49,13 +49,6 @@
     endpoint: u64,
 }
 
-/// Requests that a gateway has at an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct Load {
-    endpoint: u32,
-    requests: u16,
-}
-
 /// What a gateway knows of configuration and endpoints.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Stamp {
@@ -128,19 +121,13 @@
 pub(crate) struct Peers {
     own: Ipv4Addr,
     peers: HashMap<Ipv4Addr, Peer>,
-    loads: HashMap<u32, u32>,
     deaths: Vec<(Death, Millis)>,
 }
 
 impl Peers {
     /// Starts with the gateways that the settings name.
     pub(crate) fn new(settings: &Settings, now: Millis) -> Peers {
-        let mut peers = Peers {
-            own: settings.address,
-            peers: HashMap::new(),
-            loads: HashMap::new(),
-            deaths: Vec::new(),
-        };
+        let mut peers = Peers { own: settings.address, peers: HashMap::new(), deaths: Vec::new() };
         for seed in settings.seeds.iter().flatten() {
             peers.add(*seed.ip(), now);
         }
@@ -167,9 +154,9 @@
             .map(|(address, _)| *address)
     }
 
-    /// Returns the requests that other gateways have at an endpoint.
-    pub(crate) fn load_of(&self, node: u64) -> u32 {
-        self.loads.get(&(node as u32)).copied().unwrap_or(0)
+    /// Returns the loads that live gateways have told.
+    pub(crate) fn told_loads(&self, now: Millis) -> impl Iterator<Item = &Load> {
+        self.peers.values().filter(move |it| self.is_alive(it, now)).flat_map(|it| &it.loads)
     }
 
     /// Returns a live gateway that knows a later configuration than `own`, or
@@ -230,17 +217,6 @@
         peer.ready = beat.ready;
         peer.stamp = beat.stamp;
         peer.loads = beat.loads;
-        self.sum_loads(now);
-    }
-
-    fn sum_loads(&mut self, now: Millis) {
-        let mut sums = HashMap::new();
-        for peer in self.peers.values().filter(|it| self.is_alive(it, now)) {
-            for load in &peer.loads {
-                *sums.entry(load.endpoint).or_insert(0) += u32::from(load.requests);
-            }
-        }
-        self.loads = sums;
     }
 
     fn drop_forgotten(&mut self, now: Millis) {
@@ -275,7 +251,7 @@
     let (recipients, pause_ms) = {
         let mut peers = gateway.peers.borrow_mut();
         peers.drop_forgotten(now);
-        peers.sum_loads(now);
+        gateway.loads.borrow_mut().set_at_peers(peers.told_loads(now));
         (peers.recipients(round, now), peers.round_ms())
     };
     send(gateway, socket, &Message::Heartbeat(heartbeat(gateway, now)), &recipients).await;
@@ -315,20 +291,11 @@
 }
 
 fn heartbeat(gateway: &Gateway, now: Millis) -> Heartbeat {
-    let fleet = gateway.fleet.borrow();
-    let loads = fleet
-        .slots()
-        .filter(|it| it.in_flight() > 0)
-        .map(|it| Load {
-            endpoint: it.node() as u32,
-            requests: it.in_flight().min(u32::from(u16::MAX)) as u16,
-        })
-        .collect();
     let peers = gateway.peers.borrow();
     Heartbeat {
         ready: gateway.is_ready(),
         stamp: gateway.stamp(),
-        loads,
+        loads: gateway.loads.borrow().to_told(),
         deaths: peers.deaths.iter().rev().take(MAX_DEATHS).map(|(death, _)| *death).collect(),
         known: peers.ready(now).take(NAMED_PEERS).collect(),
     }
@@ -371,7 +338,9 @@
                 gateway.crashers.borrow_mut().blame(death.fingerprint, death.endpoint, now);
             }
             let stamp = beat.stamp;
-            gateway.peers.borrow_mut().receive(from, beat, now);
+            let mut peers = gateway.peers.borrow_mut();
+            peers.receive(from, beat, now);
+            gateway.loads.borrow_mut().set_at_peers(peers.told_loads(now));
             stamp
         }
     };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,9 +16,9 @@
 
 use crate::{
     attempts::{self, Open, Tries},
-    fleet::InFlight,
     gateway::Gateway,
     headers::strip_connection_headers,
+    loads::InFlight,
     pool::Connection,
     request::Job,
 };
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -2,8 +2,9 @@
 //!
 //! Requests that share a prompt prefix go to the engine that has it cached:
 //! every gateway ranks the engines for the prefix alike, by rendezvous hashing,
-//! and takes the first one whose load is within a bound. So a hot prefix
-//! spreads over the next engines in its rank and comes back when it cools.
+//! and takes the first one whose load is within a bound. A hot prefix has as
+//! many homes in its rank as its running requests need, and comes back to one
+//! when it cools.
 //! Other requests go to the least loaded endpoint.
 
 use mimosaledge_core::hash::rendezvous_score;
@@ -39,13 +40,24 @@
     }
 }
 
+/// A prompt prefix that requests share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Prefix {
+    /// Identifies the prefix.
+    pub key: u64,
+    /// Requests with it that run at all endpoints, as far as known.
+    pub running: f64,
+}
+
 /// Chooses the endpoint for a request; returns its index in `candidates`.
 ///
-/// `prefix` identifies the cached prompt prefix, if the request has one;
-/// `pick` is a random number that breaks ties.
-pub fn choose(prefix: Option<u64>, candidates: &[Candidate], pick: u64) -> Option<usize> {
+/// `prefix` is the cached prompt prefix, if the request has one; `pick` is a
+/// random number that spreads requests and breaks ties.
+pub fn choose(prefix: Option<Prefix>, candidates: &[Candidate], pick: u64) -> Option<usize> {
     match prefix {
-        Some(prefix) => choose_cached(prefix, candidates).or_else(|| choose_idle(candidates, pick)),
+        Some(prefix) => {
+            choose_cached(prefix, candidates, pick).or_else(|| choose_idle(candidates, pick))
+        }
         None => choose_idle(candidates, pick),
     }
 }
@@ -57,17 +69,32 @@
     mean * STAY_FACTOR + STAY_SLACK
 }
 
-fn choose_cached(prefix: u64, candidates: &[Candidate]) -> Option<usize> {
+fn choose_cached(prefix: Prefix, candidates: &[Candidate], pick: u64) -> Option<usize> {
     let bound = stay_bound(candidates);
-    candidates
+    let homes = home_count(prefix, candidates);
+    let mut rank: Vec<(f64, usize)> = candidates
         .iter()
         .enumerate()
-        .filter(|(_, it)| it.load + FAILURE_LOAD * it.failing <= bound)
-        .max_by(|(_, a), (_, b)| {
-            let score = |it: &Candidate| rendezvous_score(prefix, it.node, 1.0);
-            score(a).total_cmp(&score(b))
-        })
-        .map(|(at, _)| at)
+        .map(|(at, it)| (rendezvous_score(prefix.key, it.node, 1.0), at))
+        .collect();
+    rank.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
+    // Homes take turns; what they cannot take goes down the rank.
+    let first = pick as usize % homes.max(1);
+    let order = (0..homes).map(|it| (first + it) % homes).chain(homes..rank.len());
+    order.map(|it| rank[it].1).find(|at| {
+        let candidate = &candidates[*at];
+        candidate.load + FAILURE_LOAD * candidate.failing <= bound
+    })
+}
+
+/// Returns how many engines share a prefix: as many as its requests fill the
+/// room between the mean load and the bound of. Gateways that do not know each
+/// other's latest requests then still spread a hot prefix evenly.
+fn home_count(prefix: Prefix, candidates: &[Candidate]) -> usize {
+    let total: f64 = candidates.iter().map(|it| it.load).sum();
+    let mean = total / candidates.len().max(1) as f64;
+    let room = (stay_bound(candidates) - mean).max(1.0);
+    ((prefix.running / room).ceil() as usize).clamp(1, candidates.len().max(1))
 }
 
 fn choose_idle(candidates: &[Candidate], pick: u64) -> Option<usize> {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use mimosaledge_core::hash::hash64;
-use mimosaledge_policy::placement::{Candidate, choose};
+use mimosaledge_policy::placement::{Candidate, Prefix, choose};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -12,8 +12,6 @@
 const CAP: (f64, f64) = (2.0, 3.0);
 /// Share of requests that may meet an engine over the cap.
 const OVER_CAP_SHARE: f64 = 0.03;
-/// Pause between two heartbeats of a gateway, in milliseconds.
-const HEARTBEAT_MS: u64 = 400;
 const RUN_MS: u64 = 1_500;
 
 struct Load {
@@ -23,6 +21,8 @@
     sessions: u64,
     /// Share of requests that belong to the first session.
     hot: f64,
+    /// Pause between two heartbeats of a gateway, in milliseconds.
+    beat_ms: u64,
 }
 
 struct Outcome {
@@ -36,20 +36,24 @@
     let nodes: Vec<u64> = (0..load.engines as u64).map(|it| hash64(&it.to_le_bytes())).collect();
     let mut own = vec![vec![0u32; load.engines]; load.gateways];
     let mut told = own.clone();
-    let mut ends: VecDeque<(u64, usize, usize)> = VecDeque::new();
+    let mut own_sessions: Vec<HashMap<u64, u32>> = vec![HashMap::new(); load.gateways];
+    let mut told_sessions = own_sessions.clone();
+    let mut ends: VecDeque<(u64, usize, usize, u64)> = VecDeque::new();
     let mut held: HashMap<u64, HashSet<usize>> = HashMap::new();
     let (mut over, mut reused, mut returned, mut count) = (0u64, 0u64, 0u64, 0u64);
     for step in 0..20 * load.per_s {
         let now = step * 1_000 / load.per_s;
         while ends.front().is_some_and(|it| it.0 <= now) {
-            let (_, gateway, engine) = ends.pop_front().unwrap();
+            let (_, gateway, engine, session) = ends.pop_front().unwrap();
             own[gateway][engine] -= 1;
+            *own_sessions[gateway].get_mut(&session).unwrap() -= 1;
         }
         for gateway in 0..load.gateways {
             // Heartbeats of different gateways fall on different moments.
-            let phase = gateway as u64 * HEARTBEAT_MS / load.gateways as u64;
-            if (now + phase) % HEARTBEAT_MS < 1_000 / load.per_s.min(1_000) {
+            let phase = gateway as u64 * load.beat_ms / load.gateways as u64;
+            if (now + phase) % load.beat_ms < 1_000 / load.per_s.min(1_000) {
                 told[gateway] = own[gateway].clone();
+                told_sessions[gateway] = own_sessions[gateway].clone();
             }
         }
         let gateway = random.random_range(0..load.gateways);
@@ -66,8 +70,14 @@
                 Candidate { node: nodes[engine], load: f64::from(known), near: true, failing: 0.0 }
             })
             .collect();
-        let engine =
-            alive[choose(Some(hash64(&session.to_le_bytes())), &candidates, step).unwrap()];
+        let running: u32 = (0..load.gateways)
+            .map(|it| if it == gateway { &own_sessions[it] } else { &told_sessions[it] })
+            .filter_map(|it| it.get(&session))
+            .sum();
+        let prefix =
+            Prefix { key: hash64(&session.to_le_bytes()), running: f64::from(running + 1) };
+        let pick = random.random();
+        let engine = alive[choose(Some(prefix), &candidates, pick).unwrap()];
         let total = |engine: usize| own.iter().map(|it| it[engine]).sum::<u32>();
         let mean = alive.iter().map(|it| f64::from(total(*it))).sum::<f64>() / alive.len() as f64;
         if f64::from(total(engine)) > CAP.0 * mean + CAP.1 {
@@ -78,7 +88,8 @@
         reused += u64::from(holders.contains(&engine));
         holders.insert(engine);
         own[gateway][engine] += 1;
-        ends.push_back((now + RUN_MS, gateway, engine));
+        *own_sessions[gateway].entry(session).or_insert(0) += 1;
+        ends.push_back((now + RUN_MS, gateway, engine, session));
         count += 1;
     }
     Outcome { over_cap: over as f64 / count as f64, reuse: reused as f64 / returned as f64 }
@@ -99,26 +110,29 @@
 
 loads! {
     steady_load_stays_within_the_cap =>
-        Load { gateways: 8, engines: 9, per_s: 90, sessions: 190, hot: 0.0 }, lost [], reuse over 0.8;
+        Load { gateways: 8, engines: 9, per_s: 90, sessions: 190, hot: 0.0, beat_ms: 470 }, lost [], reuse over 0.8;
     surge_of_all_stays_within_the_cap =>
-        Load { gateways: 8, engines: 9, per_s: 250, sessions: 190, hot: 0.0 }, lost [], reuse over 0.8;
+        Load { gateways: 8, engines: 9, per_s: 250, sessions: 190, hot: 0.0, beat_ms: 470 }, lost [], reuse over 0.8;
     one_hot_session_spreads =>
-        Load { gateways: 8, engines: 9, per_s: 90, sessions: 190, hot: 0.4 }, lost [], reuse over 0.8;
+        Load { gateways: 8, engines: 9, per_s: 90, sessions: 190, hot: 0.4, beat_ms: 470 }, lost [], reuse over 0.8;
     engines_lost_in_a_surge_are_made_up_for =>
-        Load { gateways: 6, engines: 9, per_s: 200, sessions: 190, hot: 0.1 }, lost [1, 4, 7], reuse over 0.7;
+        Load { gateways: 6, engines: 9, per_s: 200, sessions: 190, hot: 0.1, beat_ms: 450 }, lost [1, 4, 7], reuse over 0.7;
     many_gateways_see_old_loads =>
-        Load { gateways: 59, engines: 90, per_s: 860, sessions: 1_900, hot: 0.05 }, lost [3], reuse over 0.8;
+        Load { gateways: 59, engines: 90, per_s: 860, sessions: 1_900, hot: 0.05, beat_ms: 920 }, lost [3], reuse over 0.8;
+    hot_session_among_many_gateways_spreads =>
+        Load { gateways: 79, engines: 60, per_s: 360, sessions: 700, hot: 0.2, beat_ms: 1_100 }, lost [], reuse over 0.7;
 }
 
 #[test]
 fn session_stays_when_another_engine_leaves() {
+    let cool = |key| Prefix { key, running: 1.0 };
     let idle = |node| Candidate { node, load: 0.0, near: true, failing: 0.0 };
     let all: Vec<Candidate> = (0..9).map(|it| idle(hash64(&[it]))).collect();
     for session in 0..200u64 {
-        let home = all[choose(Some(session), &all, 0).unwrap()].node;
+        let home = all[choose(Some(cool(session)), &all, 0).unwrap()].node;
         let fewer: Vec<Candidate> =
             all.iter().copied().filter(|it| it.node != all[0].node).collect();
-        let next = fewer[choose(Some(session), &fewer, 0).unwrap()].node;
+        let next = fewer[choose(Some(cool(session)), &fewer, 0).unwrap()].node;
         assert!(home == next || home == all[0].node);
     }
 }
