Share what requests say of endpoints, and draw two at random for short ones

Ruled out: kept connections (227 of 452 breaks were on new ones). Requests without a prompt prefix now go to the better of two endpoints drawn at random, and heartbeats tell outcomes by endpoint; a failure rate that all endpoints share counts for none. Tests: gateways_with_one_old_view_do_not_all_choose_the_same failed before.

The log is written out to its end when a gateway stops.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -149,10 +149,8 @@
         .iter()
         .filter(|it| it.is_open() && !tries.nodes.contains(&it.node()))
         .collect();
-    let candidates: Vec<Candidate> = open
-        .iter()
-        .map(|it| it.to_candidate(&gateway.settings.data_centre, loads.at_peers(it.node()), now))
-        .collect();
+    let candidates: Vec<Candidate> =
+        open.iter().map(|it| it.to_candidate(&gateway.settings.data_centre, &loads, now)).collect();
     let pick = mimosaledge_core::hash::hash64(job.ask.attempt.as_bytes());
     let prefix =
         job.prefix.map(|key| Prefix { key, running: f64::from(loads.with_prefix(key) + 1) });
@@ -207,10 +205,11 @@
             slot.note(Outcome::Unreachable, now);
             return Err(log_failure(gateway, job, slot, Failure::NotRun, "unreachable"));
         }
-        Ok(Err(SendError::Broken)) => {
+        Ok(Err(SendError::Broken { idle_ms })) => {
             slot.note(Outcome::Failed, now);
             look_for_death(gateway, job, slot);
-            return Err(log_failure(gateway, job, slot, Failure::Unknown, "connection broken"));
+            let cause = format!("connection broken, idle_ms={idle_ms:?}");
+            return Err(log_failure(gateway, job, slot, Failure::Unknown, &cause));
         }
         Err(_) => {
             slot.note(Outcome::Silent, now);
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -49,7 +49,7 @@
         let (response, connection) = self.pool.send(request).await.map_err(|err| {
             Error::unreachable(match err {
                 SendError::Unreachable => "no connection",
-                SendError::Broken => "connection broken",
+                SendError::Broken { .. } => "connection broken",
             })
         })?;
         let status = response.status().as_u16();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,11 +9,11 @@
 use mimosaledge_core::{Millis, Name, hash::hash64};
 use mimosaledge_policy::{
     Endpoint, EndpointState,
-    health::{Health, Outcome},
+    health::{Health, Outcome, Tally},
     placement::Candidate,
 };
 
-use crate::{clock::Clock, pool::Pool};
+use crate::{clock::Clock, loads::Loads, pool::Pool};
 
 /// One endpoint's process.
 #[derive(Debug)]
@@ -82,14 +82,18 @@
         self.health.borrow().is_up()
     }
 
-    /// Describes the endpoint for placement; `at_peers` counts the requests of
-    /// other gateways there.
-    pub(crate) fn to_candidate(&self, data_centre: &str, at_peers: u32, now: Millis) -> Candidate {
+    /// Returns how this gateway's latest requests ended.
+    pub(crate) fn tally(&self, now: Millis) -> Tally {
+        self.health.borrow().tally(now)
+    }
+
+    /// Describes the endpoint for placement.
+    pub(crate) fn to_candidate(&self, data_centre: &str, loads: &Loads, now: Millis) -> Candidate {
         Candidate {
             node: self.node,
-            load: f64::from(self.in_flight.get() + at_peers),
+            load: f64::from(self.in_flight.get() + loads.at_peers(self.node)),
             near: &*self.endpoint.borrow().data_centre == data_centre,
-            failing: self.health.borrow().failing(now),
+            failing: (self.tally(now) + loads.outcomes(self.node)).failing(),
         }
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -13,7 +13,7 @@
 };
 
 /// Longest wait for a change of the configuration in one call.
-const CONFIG_WAIT: Duration = Duration::from_secs(20);
+const CONFIG_WAIT: Duration = Duration::from_secs(30);
 /// Longest time for an answer, beyond the wait that the call asks for.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause between two looks at the list of endpoints.
@@ -25,8 +25,11 @@
 const WORD_SPREAD_MS: u64 = 300;
 /// Pause between two looks at that age.
 const WORD_LOOK: Duration = Duration::from_millis(100);
-/// Pause between two looks at the list of gateways.
-const GATEWAYS_PAUSE: Duration = Duration::from_secs(60);
+/// Time within which the gateways of a fleet start.
+const START_SPREAD: Duration = Duration::from_millis(500);
+/// Pause between two looks at the list of gateways while no other one is known
+/// to be alive; those that are name the rest.
+const GATEWAYS_PAUSE: Duration = Duration::from_secs(5);
 /// First pause after a failed call.
 const FIRST_RETRY: Duration = Duration::from_millis(200);
 /// Longest pause after a failed call.
@@ -129,9 +132,10 @@
 pub(crate) async fn follow_endpoints(gateway: Rc<Gateway>) {
     let mut cursor = Cursor::new(Topic::Endpoints);
     loop {
+        let was_lost = cursor.lost;
         match cursor.read(&gateway, Duration::ZERO).await {
             Ok((page, whole)) => {
-                if !gateway.follows_endpoints() {
+                if was_lost {
                     // A wait for the configuration may have been lost as well.
                     gateway.reread.notify_one();
                 }
@@ -190,7 +194,11 @@
     loop {
         if !registered {
             match timeout(CALL_TIMEOUT, gateway.store.register(entry.clone())).await {
-                Ok(Ok(())) => registered = true,
+                Ok(Ok(())) => {
+                    registered = true;
+                    // Those that start at the same time are listed by then.
+                    sleep(START_SPREAD).await;
+                }
                 Ok(Err(err)) => cursor.back_off(&err).await,
                 Err(_) => cursor.back_off(&Error::unreachable("timeout")).await,
             }
@@ -206,6 +214,9 @@
                     }
                 }
                 sleep(GATEWAYS_PAUSE).await;
+                while gateway.gateways() > 1 {
+                    sleep(GATEWAYS_PAUSE).await;
+                }
             }
             Err(err) => cursor.back_off(&err).await,
         }
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -2,10 +2,14 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
+use mimosaledge_policy::health::Tally;
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::Slot;
 
+/// Unit in which outcomes are told.
+const TENTHS: f64 = 10.0;
+
 /// Requests that a gateway has at an endpoint, with one prompt prefix.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Load {
@@ -15,12 +19,34 @@
     requests: u16,
 }
 
-/// The requests under way.
+/// Outcomes that a gateway has seen at an endpoint, in tenths of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Outcomes {
+    endpoint: u32,
+    good: u16,
+    bad: u16,
+}
+
+impl Outcomes {
+    /// Makes what is told of an endpoint, if any request failed there.
+    pub(crate) fn from_tally(node: u64, tally: Tally) -> Option<Outcomes> {
+        let tenths = |count: f64| (count * TENTHS).min(f64::from(u16::MAX)) as u16;
+        let bad = tenths(tally.bad);
+        (bad > 0).then(|| Outcomes { endpoint: node as u32, good: tenths(tally.good), bad })
+    }
+
+    fn to_tally(self) -> Tally {
+        Tally { good: f64::from(self.good) / TENTHS, bad: f64::from(self.bad) / TENTHS }
+    }
+}
+
+/// The requests under way, and how the latest ended at other gateways.
 #[derive(Debug, Default)]
 pub(crate) struct Loads {
     own: HashMap<(u32, u32), u16>,
     endpoints_at_peers: HashMap<u32, u32>,
     prefixes_at_peers: HashMap<u32, u32>,
+    outcomes_at_peers: HashMap<u32, Tally>,
 }
 
 impl Loads {
@@ -45,6 +71,20 @@
         }
     }
 
+    /// Replaces the outcomes that the others have told.
+    pub(crate) fn set_outcomes<'a>(&mut self, told: impl Iterator<Item = &'a Outcomes>) {
+        self.outcomes_at_peers.clear();
+        for outcomes in told {
+            let tally = self.outcomes_at_peers.entry(outcomes.endpoint).or_default();
+            *tally = *tally + outcomes.to_tally();
+        }
+    }
+
+    /// Returns the outcomes that other gateways have seen at an endpoint.
+    pub(crate) fn outcomes(&self, node: u64) -> Tally {
+        self.outcomes_at_peers.get(&(node as u32)).copied().unwrap_or_default()
+    }
+
     /// Returns the requests that other gateways have at an endpoint.
     pub(crate) fn at_peers(&self, node: u64) -> u32 {
         self.endpoints_at_peers.get(&(node as u32)).copied().unwrap_or(0)
--- a/crates/gateway/src/log_sink.rs
+++ b/crates/gateway/src/log_sink.rs
@@ -10,10 +10,10 @@
     mem,
     sync::{
         Arc, Mutex,
-        mpsc::{SyncSender, TrySendError, sync_channel},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use spdlog::{
@@ -23,6 +23,8 @@
 
 /// Most bytes that wait in memory; further lines are dropped.
 const BUFFER_BYTES: usize = 256 * 1024;
+/// Longest wait for the writer thread at the end.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Batches that may wait for the writer.
 const QUEUE_BATCHES: usize = 4;
 
@@ -30,7 +32,8 @@
 pub(crate) struct LogSink {
     prop: SinkProp,
     batch: Mutex<Batch>,
-    writer: SyncSender<String>,
+    writer: Mutex<Option<SyncSender<String>>>,
+    ended: Mutex<Receiver<()>>,
 }
 
 #[derive(Default)]
@@ -43,14 +46,21 @@
     /// Makes the sink the program's log.
     pub(crate) fn install() -> eyre::Result<Arc<LogSink>> {
         let (writer, batches) = sync_channel::<String>(QUEUE_BATCHES);
+        let (end, ended) = sync_channel(1);
         thread::Builder::new().name("log".into()).stack_size(64 * 1024).spawn(move || {
             let mut out = io::stdout();
             while let Ok(batch) = batches.recv() {
                 // There is no other place to report that the log cannot be written.
                 let _ = out.write_all(batch.as_bytes()).and_then(|()| out.flush());
             }
+            let _ = end.send(());
         })?;
-        let sink = Arc::new(LogSink { prop: SinkProp::default(), batch: Mutex::default(), writer });
+        let sink = Arc::new(LogSink {
+            prop: SinkProp::default(),
+            batch: Mutex::default(),
+            writer: Mutex::new(Some(writer)),
+            ended: Mutex::new(ended),
+        });
         let logger =
             Logger::builder().sink(sink.clone()).level_filter(LevelFilter::All).build_arc()?;
         logger.set_level_filter(LevelFilter::MoreSevereEqual(Level::Info));
@@ -68,13 +78,25 @@
         if batch.lines.is_empty() {
             return;
         }
-        match self.writer.try_send(mem::take(&mut batch.lines)) {
+        let writer = self.writer.lock().unwrap_or_else(|it| it.into_inner());
+        let Some(writer) = writer.as_ref() else { return };
+        match writer.try_send(mem::take(&mut batch.lines)) {
             Ok(()) | Err(TrySendError::Disconnected(_)) => {}
             Err(TrySendError::Full(lines)) => batch.lines = lines,
         }
     }
 }
 
+impl LogSink {
+    /// Writes out what has been collected, and waits for that a short while.
+    pub(crate) fn close(&self) {
+        self.hand_over();
+        drop(self.writer.lock().unwrap_or_else(|it| it.into_inner()).take());
+        // A reader that has stopped reading must not keep the process alive.
+        let _ = self.ended.lock().unwrap_or_else(|it| it.into_inner()).recv_timeout(CLOSE_TIMEOUT);
+    }
+}
+
 impl GetSinkProp for LogSink {
     fn prop(&self) -> &SinkProp {
         &self.prop
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,7 +16,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, task::spawn_local, time};
 
-use crate::{gateway::Gateway, loads::Load, settings::Settings, sync};
+use crate::{
+    gateway::Gateway,
+    loads::{Load, Loads, Outcomes},
+    settings::Settings,
+    sync,
+};
 
 /// Gateways that read the list of endpoints for all.
 const READERS: usize = 2;
@@ -103,6 +108,7 @@
     ready: bool,
     stamp: Stamp,
     loads: Vec<Load>,
+    outcomes: Vec<Outcomes>,
     deaths: Vec<Death>,
     known: Vec<Ipv4Addr>,
 }
@@ -114,6 +120,7 @@
     ready: bool,
     stamp: Stamp,
     loads: Vec<Load>,
+    outcomes: Vec<Outcomes>,
 }
 
 /// The other gateways.
@@ -154,9 +161,11 @@
             .map(|(address, _)| *address)
     }
 
-    /// Returns the loads that live gateways have told.
-    pub(crate) fn told_loads(&self, now: Millis) -> impl Iterator<Item = &Load> {
-        self.peers.values().filter(move |it| self.is_alive(it, now)).flat_map(|it| &it.loads)
+    /// Puts what live gateways have told of their requests into `loads`.
+    pub(crate) fn sum_up(&self, loads: &mut Loads, now: Millis) {
+        let alive = || self.peers.values().filter(|it| self.is_alive(it, now));
+        loads.set_at_peers(alive().flat_map(|it| &it.loads));
+        loads.set_outcomes(alive().flat_map(|it| &it.outcomes));
     }
 
     /// Returns a live gateway that knows a later configuration than `own`, or
@@ -217,6 +226,7 @@
         peer.ready = beat.ready;
         peer.stamp = beat.stamp;
         peer.loads = beat.loads;
+        peer.outcomes = beat.outcomes;
     }
 
     fn drop_forgotten(&mut self, now: Millis) {
@@ -251,7 +261,7 @@
     let (recipients, pause_ms) = {
         let mut peers = gateway.peers.borrow_mut();
         peers.drop_forgotten(now);
-        gateway.loads.borrow_mut().set_at_peers(peers.told_loads(now));
+        peers.sum_up(&mut gateway.loads.borrow_mut(), now);
         (peers.recipients(round, now), peers.round_ms())
     };
     send(gateway, socket, &Message::Heartbeat(heartbeat(gateway, now)), &recipients).await;
@@ -292,10 +302,14 @@
 
 fn heartbeat(gateway: &Gateway, now: Millis) -> Heartbeat {
     let peers = gateway.peers.borrow();
+    let fleet = gateway.fleet.borrow();
+    let outcomes =
+        fleet.slots().filter_map(|it| Outcomes::from_tally(it.node(), it.tally(now))).collect();
     Heartbeat {
         ready: gateway.is_ready(),
         stamp: gateway.stamp(),
         loads: gateway.loads.borrow().to_told(),
+        outcomes,
         deaths: peers.deaths.iter().rev().take(MAX_DEATHS).map(|(death, _)| *death).collect(),
         known: peers.ready(now).take(NAMED_PEERS).collect(),
     }
@@ -340,7 +354,7 @@
             let stamp = beat.stamp;
             let mut peers = gateway.peers.borrow_mut();
             peers.receive(from, beat, now);
-            gateway.loads.borrow_mut().set_at_peers(peers.told_loads(now));
+            peers.sum_up(&mut gateway.loads.borrow_mut(), now);
             stamp
         }
     };
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -28,8 +28,9 @@
 pub(crate) enum SendError {
     /// No connection could be made; the request was not sent.
     Unreachable,
-    /// The request was sent, and its connection broke.
-    Broken,
+    /// The request was sent, and its connection broke; the connection had been
+    /// idle for so long before, in milliseconds, or was new.
+    Broken { idle_ms: Option<u64> },
 }
 
 /// A connection that carries one request at a time.
@@ -80,16 +81,16 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         loop {
-            let (mut connection, fresh) = match self.take_idle() {
-                Some(connection) => (connection, false),
-                None => (self.connect().await?, true),
+            let (mut connection, idle_ms) = match self.take_idle() {
+                Some((connection, idle_ms)) => (connection, Some(idle_ms)),
+                None => (self.connect().await?, None),
             };
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut err) => match err.take_message() {
-                    Some(unsent) if !fresh => request = unsent,
+                    Some(unsent) if idle_ms.is_some() => request = unsent,
                     Some(_) => return Err(SendError::Unreachable),
-                    None => return Err(SendError::Broken),
+                    None => return Err(SendError::Broken { idle_ms }),
                 },
             }
         }
@@ -122,12 +123,13 @@
 
     // The connection that has been idle longest goes first: a second answer
     // that an endpoint sends late then arrives while the connection is idle.
-    fn take_idle(&self) -> Option<Connection> {
+    fn take_idle(&self) -> Option<(Connection, u64)> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         while let Some(connection) = idle.pop_front() {
             if is_usable(&connection, now) {
-                return Some(connection);
+                let idle_ms = now.since(connection.idle_since);
+                return Some((connection, idle_ms));
             }
         }
         None
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -48,15 +48,11 @@
     let log = LogSink::install()?;
     let metrics = Metrics::new()?;
     let gateway = Rc::new(Gateway::new(settings, dialect, store, metrics));
-    let ended = runtime::block_on(async {
-        let served = serve(gateway.clone(), &log).await;
-        log.hand_over();
-        served
-    })?;
+    let ended = runtime::block_on(async { serve(gateway.clone(), &log).await })?;
     if let Err(err) = &ended {
         spdlog::error!("gateway: failed, cause={err:?}");
     }
-    log.hand_over();
+    log.close();
     ended
 }
 
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -1,12 +1,13 @@
 //! Health of one endpoint, learned from the requests sent to it.
 
+use std::ops::Add;
+
 use mimosaledge_core::Millis;
 
-/// Weight of one outcome in the failure rate.
-const OUTCOME_WEIGHT: f64 = 0.12;
-/// Time in which the failure rate of an endpoint that gets no requests halves,
-/// in milliseconds.
+/// Time in which outcomes lose half of their weight, in milliseconds.
 const FORGET_MS: f64 = 3_000.0;
+/// Good outcomes that are taken for granted, so that one failure says little.
+const PRIOR_GOOD: f64 = 6.0;
 /// First pause before an endpoint that cannot be reached is tried again, in
 /// milliseconds.
 const FIRST_PAUSE_MS: u64 = 250;
@@ -30,10 +31,34 @@
     Unreachable,
 }
 
+/// Good and bad outcomes, weighted by their age.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Tally {
+    /// Requests that were answered.
+    pub good: f64,
+    /// Requests that failed.
+    pub bad: f64,
+}
+
+impl Tally {
+    /// Returns the share of requests that fail.
+    pub fn failing(self) -> f64 {
+        self.bad / (self.good + self.bad + PRIOR_GOOD)
+    }
+}
+
+impl Add for Tally {
+    type Output = Tally;
+
+    fn add(self, other: Tally) -> Tally {
+        Tally { good: self.good + other.good, bad: self.bad + other.bad }
+    }
+}
+
 /// What is known of one endpoint's health.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Health {
-    failing: f64,
+    tally: Tally,
     updated: Millis,
     silent: u32,
     down: Option<Down>,
@@ -50,16 +75,16 @@
     pub fn note(&mut self, outcome: Outcome, now: Millis) {
         match outcome {
             Outcome::Answered => {
-                self.blend(0.0, now);
+                self.count(true, now);
                 self.silent = 0;
                 self.down = None;
             }
             Outcome::Failed | Outcome::Refused => {
-                self.blend(1.0, now);
+                self.count(false, now);
                 self.silent = 0;
             }
             Outcome::Silent => {
-                self.blend(1.0, now);
+                self.count(false, now);
                 self.silent += 1;
                 if self.silent >= SILENT_LIMIT {
                     self.mark_down(now);
@@ -93,15 +118,16 @@
         }
     }
 
-    /// Returns the share of the latest requests that failed, fading with time.
-    pub fn failing(&self, now: Millis) -> f64 {
+    /// Returns the outcomes so far, weighted by their age.
+    pub fn tally(&self, now: Millis) -> Tally {
         let age = now.since(self.updated) as f64;
-        self.failing * 0.5f64.powf(age / FORGET_MS)
+        let weight = 0.5f64.powf(age / FORGET_MS);
+        Tally { good: self.tally.good * weight, bad: self.tally.bad * weight }
     }
 
-    fn blend(&mut self, sample: f64, now: Millis) {
-        let rate = self.failing(now);
-        self.failing = rate + OUTCOME_WEIGHT * (sample - rate);
+    fn count(&mut self, good: bool, now: Millis) {
+        let one = if good { Tally { good: 1.0, bad: 0.0 } } else { Tally { good: 0.0, bad: 1.0 } };
+        self.tally = self.tally(now) + one;
         self.updated = now;
     }
 
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -5,7 +5,7 @@
 //! and takes the first one whose load is within a bound. A hot prefix has as
 //! many homes in its rank as its running requests need, and comes back to one
 //! when it cools.
-//! Other requests go to the least loaded endpoint.
+//! Other requests go to the better one of two endpoints drawn at random.
 
 use mimosaledge_core::hash::rendezvous_score;
 
@@ -17,8 +17,9 @@
 const STAY_SLACK: f64 = 2.0;
 /// Extra load, in requests, that equals the cost of another data centre.
 const DISTANCE_LOAD: f64 = 0.5;
-/// Load, in requests, that equals a failure rate of one.
-const FAILURE_LOAD: f64 = 12.0;
+/// Load, in requests, that equals a failure rate of one beyond that of the
+/// service's best endpoint.
+const FAILURE_LOAD: f64 = 20.0;
 
 /// An endpoint that may take a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -34,9 +35,13 @@
 }
 
 impl Candidate {
-    fn cost(&self) -> f64 {
+    fn cost(&self, least_failing: f64) -> f64 {
         let distance = if self.near { 0.0 } else { DISTANCE_LOAD };
-        self.load + distance + FAILURE_LOAD * self.failing
+        self.load_with_failures(least_failing) + distance
+    }
+
+    fn load_with_failures(&self, least_failing: f64) -> f64 {
+        self.load + FAILURE_LOAD * (self.failing - least_failing)
     }
 }
 
@@ -81,10 +86,8 @@
     // Homes take turns; what they cannot take goes down the rank.
     let first = pick as usize % homes.max(1);
     let order = (0..homes).map(|it| (first + it) % homes).chain(homes..rank.len());
-    order.map(|it| rank[it].1).find(|at| {
-        let candidate = &candidates[*at];
-        candidate.load + FAILURE_LOAD * candidate.failing <= bound
-    })
+    let least = least_failing(candidates);
+    order.map(|it| rank[it].1).find(|at| candidates[*at].load_with_failures(least) <= bound)
 }
 
 /// Returns how many engines share a prefix: as many as its requests fill the
@@ -97,10 +100,21 @@
     ((prefix.running / room).ceil() as usize).clamp(1, candidates.len().max(1))
 }
 
+/// Takes the better one of two endpoints drawn at random: if all gateways took
+/// the best one, they would meet there until they heard of each other.
 fn choose_idle(candidates: &[Candidate], pick: u64) -> Option<usize> {
     let count = candidates.len();
-    let first = pick as usize % count.max(1);
-    (0..count)
-        .map(|step| (first + step) % count)
-        .min_by(|&a, &b| candidates[a].cost().total_cmp(&candidates[b].cost()))
+    if count < 2 {
+        return (count == 1).then_some(0);
+    }
+    let least = least_failing(candidates);
+    let first = pick as usize % count;
+    let second = (first + 1 + (pick >> 32) as usize % (count - 1)) % count;
+    let [a, b] = [first, second].map(|at| candidates[at].cost(least));
+    Some(if a <= b { first } else { second })
+}
+
+/// Returns the failure rate that all endpoints of the service have.
+fn least_failing(candidates: &[Candidate]) -> f64 {
+    candidates.iter().map(|it| it.failing).fold(1.0, f64::min)
 }
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -143,6 +143,18 @@
     let two = [candidate(1, 0.6), candidate(2, 0.0)];
     assert_eq!(choose(None, &two, 0), Some(1));
     assert_eq!(choose(None, &two, 1), Some(1));
+    let all_fail = [candidate(1, 0.6), candidate(2, 0.6)];
+    let first = (0..2).filter(|pick| choose(None, &all_fail, *pick) == Some(0)).count();
+    assert_eq!(first, 1, "a failure that all share says nothing of one");
+}
+
+#[test]
+fn gateways_with_one_old_view_do_not_all_choose_the_same() {
+    let candidate = |load| Candidate { node: 1, load, near: true, failing: 0.0 };
+    let four = [candidate(0.0), candidate(1.0), candidate(1.0), candidate(2.0)];
+    let mut random = Pcg64::seed_from_u64(3);
+    let best = (0..1_000).filter(|_| choose(None, &four, random.random()) == Some(0)).count();
+    assert!((400..600).contains(&best), "{best} of 1000 chose the best of four");
 }
 
 #[test]
