Keep a starting fleet's routers alive through their first heartbeats

Cause of the known red many_routers_stay_alive: a listed router counts as alive for 8 s from its introduction, but its first heartbeat replaced that time by 3 s, less than gossip among 32 starting routers takes to come round. Ruled out: the pace of gossip (raised before, and the fault stayed). Two tests in crates/core/tests/members.rs failed first.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -138,7 +138,10 @@
             Some(known) => {
                 // Others may relay heartbeats of a router that no longer answers us.
                 let suspect_until = known.suspect_until;
-                *known = Member { suspect_until, ..member };
+                // The first heartbeats of a starting fleet come round slowly;
+                // they must not end the time that its introduction gave.
+                let heard_at = now.max(known.heard_at);
+                *known = Member { suspect_until, heard_at, ..member };
                 true
             }
             None => {
@@ -156,7 +159,7 @@
         let known = known.filter(|it| it.heartbeat.router.id != own);
         let member = known.filter(|it| beat > it.heartbeat.beat)?;
         member.heartbeat.beat = beat;
-        member.heard_at = now;
+        member.heard_at = now.max(member.heard_at);
         Some(member.heartbeat.router.id)
     }
 
--- /dev/null
+++ b/crates/core/tests/members.rs
@@ -0,0 +1,50 @@
+//! Routers that are taken for alive while gossip of them is still coming round.
+
+use mimosaledge_core::{
+    Millis,
+    members::{DEAD_AFTER_MS, Heartbeat, Members, RouterRef},
+};
+
+/// Longest time that gossip takes to come round when a whole fleet starts.
+const START_MS: u64 = 5_000;
+
+fn heartbeat(id: u32, incarnation: u64, beat: u32) -> Heartbeat {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let router = RouterRef { id, incarnation };
+    Heartbeat { router, beat, http: address, peer: address, zone: 0, draining: false, head: 0 }
+}
+
+fn started_fleet(now: Millis) -> Members {
+    let mut members = Members::new(heartbeat(1, 1, 0), now);
+    members.introduce(heartbeat(2, 0, 0), now);
+    members
+}
+
+#[test]
+fn first_heartbeat_does_not_shorten_a_starting_routers_time() {
+    let start = Millis(1_000);
+    let mut members = started_fleet(start);
+    assert!(members.hear(heartbeat(2, 7, 1), start + 200));
+    for ms in (0..START_MS).step_by(100) {
+        assert_eq!(members.peers(start + 200 + ms).count(), 1, "taken for dead after {ms} ms");
+    }
+}
+
+#[test]
+fn short_heartbeat_does_not_shorten_it_either() {
+    let start = Millis(1_000);
+    let mut members = started_fleet(start);
+    members.hear(heartbeat(2, 7, 1), start + 100);
+    let tag = RouterRef { id: 2, incarnation: 7 }.tag();
+    assert_eq!(members.hear_beat(tag, 2, start + 300), Some(2));
+    assert_eq!(members.peers(start + START_MS).count(), 1);
+}
+
+#[test]
+fn silent_router_is_dead_once_the_start_is_over() {
+    let start = Millis(1_000);
+    let mut members = started_fleet(start);
+    members.hear(heartbeat(2, 7, 1), start + START_MS + 100);
+    assert_eq!(members.peers(start + START_MS + 100 + DEAD_AFTER_MS - 1).count(), 1);
+    assert_eq!(members.peers(start + START_MS + 100 + DEAD_AFTER_MS).count(), 0);
+}
