--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -88,7 +88,7 @@
         }
         if !self.lost {
             self.lost = true;
-            spdlog::warn!("store: topic={:?} lost=true cause={err:?}", self.topic);
+            spdlog::warn!("store: topic={:?} lost=true cause=\"{err}\"", self.topic);
         }
         sleep(self.pause).await;
         self.pause = (self.pause * 2).min(MAX_RETRY);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -32,6 +32,9 @@
 const ROUND_MS_PER_PEER: u64 = 9;
 /// Rounds without a heartbeat after which a gateway is taken for dead.
 const DEAD_ROUNDS: u64 = 4;
+/// Time for which a gateway that was never heard is sent every heartbeat, in
+/// milliseconds.
+const GREET_MS: u64 = 4_000;
 /// Dead gateways are sent a heartbeat once in so many rounds.
 const DEAD_EVERY: u64 = 6;
 /// Time after which a dead gateway is forgotten, in milliseconds.
@@ -238,7 +241,10 @@
     fn recipients(&self, round: u64, now: Millis) -> Vec<Ipv4Addr> {
         self.peers
             .iter()
-            .filter(|(_, it)| self.is_alive(it, now) || round.is_multiple_of(DEAD_EVERY))
+            .filter(|(_, it)| {
+                let is_new = now.since(it.added) < GREET_MS;
+                is_new || self.is_alive(it, now) || round.is_multiple_of(DEAD_EVERY)
+            })
             .map(|(address, _)| *address)
             .collect()
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -57,6 +57,10 @@
 }
 
 async fn serve(gateway: Rc<Gateway>, log: &LogSink) -> Result<()> {
+    // First of all: until a signal is watched, it kills the process.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
     let settings = &gateway.settings;
     spdlog::info!(
         "gateway: started name={} data_centre={} clients={}",
@@ -74,9 +78,6 @@
     spawn_local(follow::follow_endpoints(gateway.clone()));
     spawn_local(follow::follow_gateways(gateway.clone()));
     spawn_local(peers::exchange(gateway.clone(), beats));
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
     let mut looked = gateway.now();
     loop {
         tokio::select! {
