--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 //! decides who wins.
 
 pub mod check;
+pub mod explain;
 pub mod output;
 pub mod publish;
 pub mod routers;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -12,6 +12,7 @@
 use eyre::{Result, WrapErr};
 use mimosaledge_cli::{
     check::check_file,
+    explain::explain,
     output::print,
     publish::{Published, Publisher, Wanted},
     routers,
@@ -63,6 +64,13 @@
                 /// Operators' ports of routers, separated by commas.
                 required --routers routers: String
             }
+            /// Show what the logs of gateways say of one request.
+            cmd explain {
+                /// The request's identifier.
+                required id: String
+                /// Files with logs.
+                repeated files: PathBuf
+            }
             /// Begin the planned stop of a router.
             cmd drain {
                 /// Operators' port of the router.
@@ -99,6 +107,7 @@
             report(json, &publisher.change(wanted, switch.wait).await?)
         }
         Cmd::Status(status) => run_status(json, &status).await,
+        Cmd::Explain(flags) => run_explain(json, &flags),
         Cmd::Drain(drain) => {
             routers::drain(drain.router).await?;
             Ok(ExitCode::SUCCESS)
@@ -106,6 +115,19 @@
     }
 }
 
+fn run_explain(json: bool, flags: &flags::Explain) -> Result<ExitCode> {
+    let mut logs = Vec::new();
+    for file in &flags.files {
+        let name = file.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        let bytes = fs::read(file).wrap_err_with(|| file.display().to_string())?;
+        logs.push((name, String::from_utf8_lossy(&bytes).into_owned()));
+    }
+    let logs = logs.iter().map(|(name, log)| (name.as_str(), log.as_str()));
+    let explanation = explain(&flags.id, logs);
+    print(json, &explanation, |it| it.to_text())?;
+    Ok(if explanation.lines.is_empty() { ExitCode::from(2) } else { ExitCode::SUCCESS })
+}
+
 #[derive(Serialize)]
 struct CheckReport {
     file: String,
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -12,29 +12,29 @@
 #[repr(u16)]
 pub enum Code {
     /// The gateway knows no configuration yet.
-    NoConfig = 201,
+    NoConfig = 3000,
     /// No route matches the request.
-    NoRoute = 202,
+    NoRoute = 2001,
     /// The request's key names no workspace.
-    NoWorkspace = 203,
+    NoWorkspace = 2002,
     /// The configuration may be out of date, so a denial would be a guess.
-    StaleConfig = 204,
+    StaleConfig = 3009,
     /// The request cannot be understood.
-    BadRequest = 205,
+    BadRequest = 2000,
     /// The body is larger than allowed.
-    TooLarge = 206,
+    TooLarge = 2004,
     /// No endpoint of the service can be reached.
-    NoEndpoint = 207,
+    NoEndpoint = 3003,
     /// Every endpoint that was asked refused the request.
-    Refused = 208,
+    Refused = 3008,
     /// Time ran out before the request was sent to an endpoint.
-    TooLate = 209,
+    TooLate = 3010,
     /// The request has crashed the endpoints that ran it.
-    Crasher = 210,
+    Crasher = 3004,
     /// The request was sent and its outcome is unknown.
-    Unknown = 211,
+    Unknown = 4001,
     /// The request was sent and not answered in time.
-    Timeout = 212,
+    Timeout = 4003,
 }
 
 /// A final answer that is not an endpoint's.
