--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -125,6 +125,9 @@
         "BadRequest" => "the request could not be understood or its body broke off",
         "TooLarge" => "the body is larger than allowed",
         "NoEndpoint" => "no endpoint of the service was up; the request did not run",
+        "Overloaded" => {
+            "every engine of the service was at its load limit; the request did not run"
+        }
         "Refused" => "every endpoint that was asked refused; the request did not run",
         "TooLate" => "time ran out before the request was sent; it did not run",
         "Crasher" => "equal requests crashed endpoints before; it did not run",
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -25,6 +25,8 @@
     TooLarge = 2004,
     /// No endpoint of the service can be reached.
     NoEndpoint = 3003,
+    /// Every engine is at its load limit.
+    Overloaded = 3002,
     /// Every endpoint that was asked refused the request.
     Refused = 3008,
     /// Time ran out before the request was sent to an endpoint.
@@ -70,6 +72,7 @@
             Code::NoConfig
             | Code::StaleConfig
             | Code::NoEndpoint
+            | Code::Overloaded
             | Code::Refused
             | Code::TooLate
             | Code::Crasher => 503,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,15 +1,15 @@
 //! Sends one request to endpoints, one after the other.
 
-use std::{net::SocketAddrV4, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, Version, body::Incoming, http::response};
 use mimosaledge_net::server::{ReplyBody, full_body};
 use mimosaledge_policy::{
-    Repeat, cached,
+    Repeat,
+    admission::{self, Progress},
     health::Outcome,
-    placement::{self, Candidate, Prefix},
 };
 use tokio::{
     task::spawn_local,
@@ -18,6 +18,7 @@
 
 use crate::{
     answer::{Code, Refusal},
+    choice::{self, MIN_LEFT_MS, Next, Tries},
     dialect::{Answer, Forward},
     fleet::Slot,
     gateway::Gateway,
@@ -28,10 +29,6 @@
     request::Job,
 };
 
-/// Time left below which a request is not sent, in milliseconds.
-const MIN_LEFT_MS: u64 = 15;
-/// Endpoints that may refuse a request before it is given up.
-const MAX_SENDS: u32 = 4;
 /// Wait of a client whose request no endpoint took, in milliseconds; twice as
 /// long at most.
 const REFUSED_WAIT_MS: u64 = 150;
@@ -39,15 +36,6 @@
 const MAX_WHOLE_BYTES: usize = 512 * 1024;
 /// Time between a broken connection and the look whether its endpoint died.
 const DEATH_LOOK: Duration = Duration::from_millis(30);
-/// Shortest time for an answer before an idempotent request is sent to
-/// another endpoint, in milliseconds.
-const MIN_ANSWER_MS: u64 = 350;
-/// Shortest time for the head of a stream that can be resumed before it is
-/// asked of another endpoint, in milliseconds.
-const MIN_STREAM_MS: u64 = 2_000;
-/// Multiple of the route's goal after which a request is sent to another
-/// endpoint.
-const GOAL_MULTIPLE: u64 = 4;
 
 /// An answer whose head has come.
 #[derive(Debug)]
@@ -70,14 +58,6 @@
     Silent,
 }
 
-/// The endpoints that a request has been sent to.
-#[derive(Debug, Default)]
-pub(crate) struct Tries {
-    pub(crate) nodes: Vec<u64>,
-    pub(crate) sent: u32,
-    pub(crate) ran: u32,
-}
-
 /// Sends a request until it is answered or given up.
 pub(crate) async fn run(
     gateway: &Rc<Gateway>,
@@ -90,8 +70,17 @@
     let mut tries = Tries::default();
     let mut failed_answer = None;
     let mut last = Failure::NotRun;
-    while let Some(slot) = next_endpoint(gateway, &job, &mut tries) {
-        let limit_ms = answer_limit(&job, &tries, gateway);
+    loop {
+        let slot = match choice::next_endpoint(gateway, &job, &mut tries, Progress::New) {
+            Next::Send(slot) => slot,
+            Next::Overloaded if tries.sent == 0 => {
+                let left_ms = job.left_ms(gateway.now());
+                let retry_ms = admission::return_ms(left_ms, &job.ask.attempt);
+                return Err(Refusal::come_back(Code::Overloaded, retry_ms));
+            }
+            Next::Overloaded | Next::None => break,
+        };
+        let limit_ms = choice::answer_limit(gateway, &job, &tries, &slot);
         let opened = send_once(gateway, &job, &slot, job.ask.last_event, limit_ms).await;
         let failure = match opened {
             Ok(open) if job.route().streaming && open.head.status.is_success() => {
@@ -121,68 +110,6 @@
     failed_answer.ok_or_else(|| refusal(gateway, &job, &tries, last))
 }
 
-/// Chooses the next endpoint, if there is time, budget and an endpoint left.
-pub(crate) fn next_endpoint(gateway: &Gateway, job: &Job, tries: &mut Tries) -> Option<Rc<Slot>> {
-    let now = gateway.now();
-    if job.left_ms(now) < MIN_LEFT_MS || tries.sent >= MAX_SENDS {
-        return None;
-    }
-    let slot = place(gateway, job, tries)?;
-    if tries.sent > 0 {
-        if !gateway.budget.borrow_mut().take(&job.service, gateway.gateways(), now) {
-            spdlog::info!("retry: id={} denied=true cause=budget", job.ask.attempt);
-            return None;
-        }
-        gateway.metrics.repeats.inc();
-    }
-    tries.sent += 1;
-    tries.nodes.push(slot.node());
-    Some(slot)
-}
-
-fn place(gateway: &Gateway, job: &Job, tries: &Tries) -> Option<Rc<Slot>> {
-    let now = gateway.now();
-    let fleet = gateway.fleet.borrow();
-    let loads = gateway.loads.borrow();
-    let open: Vec<&Rc<Slot>> = fleet
-        .of_service(&job.service)
-        .iter()
-        .filter(|it| it.is_open() && !tries.nodes.contains(&it.node()))
-        .collect();
-    let candidates: Vec<Candidate> =
-        open.iter().map(|it| it.to_candidate(&gateway.settings.data_centre, &loads, now)).collect();
-    let pick = mimosaledge_core::hash::hash64(job.ask.attempt.as_bytes());
-    let prefix =
-        job.prefix.map(|key| Prefix { key, running: f64::from(loads.with_prefix(key) + 1) });
-    let at = placement::choose(prefix, &candidates, pick)?;
-    let chosen = &candidates[at];
-    spdlog::info!(
-        "place: id={} route={} endpoint={} load={} near={} failing={:.2} open={} sent={} config={}",
-        job.ask.attempt,
-        job.route().name,
-        open[at].id(),
-        chosen.load,
-        chosen.near,
-        chosen.failing,
-        open.len(),
-        tries.sent,
-        gateway.version()
-    );
-    Some(open[at].clone())
-}
-
-/// Returns how long the next endpoint may take to begin its answer.
-fn answer_limit(job: &Job, tries: &Tries, gateway: &Gateway) -> u64 {
-    let left_ms = job.left_ms(gateway.now());
-    let patience_ms = job.route().goal_ms * GOAL_MULTIPLE;
-    let may_repeat = tries.ran + 1 < job.route().max_attempts;
-    match job.route().repeat {
-        Repeat::Always if may_repeat => patience_ms.max(MIN_ANSWER_MS).min(left_ms * 2 / 3),
-        Repeat::Resume if may_repeat => patience_ms.max(MIN_STREAM_MS).min(left_ms * 2 / 3),
-        _ => left_ms,
-    }
-}
-
 /// Sends a request to one endpoint and waits for the head of the answer.
 ///
 /// # Errors
@@ -218,6 +145,9 @@
     };
     let (head, body) = response.into_parts();
     let answer = gateway.dialect.decode_answer(&head);
+    if let Some(load) = answer.load {
+        slot.report(load, now);
+    }
     connection.set_idle_limit(answer.idle_ms);
     if answer.attempt.as_ref().is_some_and(|it| *it != job.ask.attempt) {
         slot.note(Outcome::Failed, now);
@@ -244,7 +174,7 @@
     slot: &Slot,
     last_event: Option<u64>,
 ) -> Request<Full<Bytes>> {
-    let fetch_from = fetch_source(gateway, job, slot);
+    let fetch_from = choice::fetch_source(gateway, job, slot);
     let forward = Forward {
         deadline_ms: job.left_ms(gateway.now()),
         endpoint: slot.id(),
@@ -263,20 +193,6 @@
     request
 }
 
-/// Returns the engine that has the prompt's prefix cached if `slot` may not.
-fn fetch_source(gateway: &Gateway, job: &Job, slot: &Slot) -> Option<SocketAddrV4> {
-    let prefix = job.prefix?;
-    let now = gateway.now();
-    let fleet = gateway.fleet.borrow();
-    let reachable: Vec<&Rc<Slot>> =
-        fleet.of_service(&job.service).iter().filter(|it| it.is_reachable()).collect();
-    let nodes: Vec<u64> = reachable.iter().map(|it| it.node()).collect();
-    let mut cached = gateway.cached.borrow_mut();
-    let source = cached::fetch_source(prefix, slot.node(), &nodes, &cached, now);
-    cached.note(prefix, slot.node(), now);
-    source.map(|at| reachable[at].endpoint.borrow().address)
-}
-
 fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
     match uri.path_and_query() {
         Some(path) => hyper::Uri::from(path.clone()),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -15,6 +15,16 @@
 
 use crate::{clock::Clock, loads::Loads, pool::Pool};
 
+/// Age up to which a reported load is used, in milliseconds.
+const REPORT_MS: u64 = 300;
+
+/// The load that an endpoint told in an answer.
+#[derive(Debug, Clone, Copy)]
+struct Report {
+    load: u32,
+    at: Millis,
+}
+
 /// One endpoint's process.
 #[derive(Debug)]
 pub(crate) struct Slot {
@@ -22,6 +32,7 @@
     pub(crate) pool: Pool,
     node: u64,
     in_flight: Cell<u32>,
+    reported: Cell<Option<Report>>,
     health: RefCell<Health>,
 }
 
@@ -34,6 +45,7 @@
             pool,
             node,
             in_flight: Cell::new(0),
+            reported: Cell::new(None),
             health: RefCell::default(),
         }
     }
@@ -87,11 +99,28 @@
         self.health.borrow().tally(now)
     }
 
+    /// Returns whether the endpoint has told that all its slots are taken.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.reported.get().is_some_and(|it| it.load >= self.endpoint.borrow().slots)
+    }
+
+    /// Notes the load that the endpoint told.
+    pub(crate) fn report(&self, load: u32, now: Millis) {
+        self.reported.set(Some(Report { load, at: now }));
+    }
+
+    /// Returns the requests that the endpoint holds, as far as known.
+    fn load(&self, loads: &Loads, now: Millis) -> u32 {
+        let known = self.in_flight.get() + loads.at_peers(self.node);
+        let fresh = self.reported.get().filter(|it| now.since(it.at) < REPORT_MS);
+        fresh.map_or(known, |it| known.max(it.load))
+    }
+
     /// Describes the endpoint for placement.
     pub(crate) fn to_candidate(&self, data_centre: &str, loads: &Loads, now: Millis) -> Candidate {
         Candidate {
             node: self.node,
-            load: f64::from(self.in_flight.get() + loads.at_peers(self.node)),
+            load: f64::from(self.load(loads, now)),
             near: &*self.endpoint.borrow().data_centre == data_centre,
             failing: (self.tally(now) + loads.outcomes(self.node)).failing(),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | `front` | accepts clients' connections |
 //! | `request` | decides whether and how a request is served |
+//! | `choice` | chooses an endpoint, or finds that all are full |
 //! | `attempts` | sends it to endpoints, one after the other |
 //! | `pool`, `fleet` | connections to endpoints, and what is known of these |
 //! | `relay` | passes a stream on and resumes it |
@@ -17,6 +18,7 @@
 mod answer;
 mod attempts;
 mod caller;
+mod choice;
 mod clock;
 mod dialect;
 mod directory;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,11 +11,12 @@
 };
 use mimosaledge_core::Millis;
 use mimosaledge_net::server::{Aborted, ReplyBody};
-use mimosaledge_policy::{Repeat, events::EventCutter, health::Outcome};
+use mimosaledge_policy::{Repeat, admission::Progress, events::EventCutter, health::Outcome};
 use tokio::time::timeout;
 
 use crate::{
-    attempts::{self, Open, Tries},
+    attempts::{self, Open},
+    choice::{self, Next, Tries},
     gateway::Gateway,
     headers::strip_connection_headers,
     loads::InFlight,
@@ -156,10 +157,9 @@
         }
         self.cutter.restart();
         while self.tries.ran < self.job.route().max_attempts {
-            let Some(slot) = attempts::next_endpoint(&self.gateway, &self.job, &mut self.tries)
-            else {
-                return false;
-            };
+            let next =
+                choice::next_endpoint(&self.gateway, &self.job, &mut self.tries, Progress::Started);
+            let Next::Send(slot) = next else { return false };
             let limit_ms = self.job.left_ms(self.gateway.now());
             let last = self.cutter.last_id();
             let opened = attempts::send_once(&self.gateway, &self.job, &slot, last, limit_ms).await;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts, watches and stops a gateway.
 
-use std::{rc::Rc, time::Duration};
+use std::{panic, rc::Rc, time::Duration};
 
 use eyre::{Context, Result};
 use mimosaledge_net::{runtime, server};
@@ -46,6 +46,7 @@
 /// Returns an error if the gateway cannot listen or watch signals.
 pub fn run(settings: Settings, dialect: Box<dyn Dialect>, store: Box<dyn Store>) -> Result<()> {
     let log = LogSink::install()?;
+    log_panics();
     let metrics = Metrics::new()?;
     let gateway = Rc::new(Gateway::new(settings, dialect, store, metrics));
     let ended = runtime::block_on(async { serve(gateway.clone(), &log).await })?;
@@ -56,6 +57,13 @@
     ended
 }
 
+/// Logs a panic: it ends one request or task, and the rest go on.
+fn log_panics() {
+    panic::set_hook(Box::new(|info| {
+        spdlog::error!("gateway: panic={:?}", info.to_string());
+    }));
+}
+
 async fn serve(gateway: Rc<Gateway>, log: &LogSink) -> Result<()> {
     // First of all: until a signal is watched, it kills the process.
     let mut terminate = signal(SignalKind::terminate())?;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,11 +6,13 @@
 //! | [`endpoints`] | which endpoints may be used, also while their list is away |
 //! | [`placement`] | which endpoint serves a request within the load bound |
 //! | [`cached`] | from which engine a prompt prefix is fetched |
+//! | [`admission`] | which requests engines are spared in a surge |
 //! | [`retry_budget`] | how many requests may be sent a second time |
 //! | [`health`] | what failures say about an endpoint |
 //! | [`crashers`] | which requests crash the endpoints that run them |
 //! | [`events`] | where the events of a stream begin and end |
 
+pub mod admission;
 pub mod cached;
 pub mod config;
 pub mod crashers;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -75,6 +75,9 @@
 }
 
 fn choose_cached(prefix: Prefix, candidates: &[Candidate], pick: u64) -> Option<usize> {
+    if candidates.is_empty() {
+        return None;
+    }
     let bound = stay_bound(candidates);
     let homes = home_count(prefix, candidates);
     let mut rank: Vec<(f64, usize)> = candidates
@@ -84,7 +87,7 @@
         .collect();
     rank.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
     // Homes take turns; what they cannot take goes down the rank.
-    let first = pick as usize % homes.max(1);
+    let first = pick as usize % homes;
     let order = (0..homes).map(|it| (first + it) % homes).chain(homes..rank.len());
     let least = least_failing(candidates);
     order.map(|it| rank[it].1).find(|at| candidates[*at].load_with_failures(least) <= bound)
@@ -97,7 +100,7 @@
     let total: f64 = candidates.iter().map(|it| it.load).sum();
     let mean = total / candidates.len().max(1) as f64;
     let room = (stay_bound(candidates) - mean).max(1.0);
-    ((prefix.running / room).ceil() as usize).clamp(1, candidates.len().max(1))
+    ((prefix.running / room).ceil() as usize).clamp(1, candidates.len())
 }
 
 /// Takes the better one of two endpoints drawn at random: if all gateways took
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -163,4 +163,5 @@
     assert_eq!(choose(None, &[candidate(3.0, true), candidate(1.0, false)], 0), Some(1));
     assert_eq!(choose(None, &[candidate(1.0, false), candidate(1.0, true)], 0), Some(1));
     assert_eq!(choose(None, &[], 0), None);
+    assert_eq!(choose(Some(Prefix { key: 1, running: 9.0 }), &[], 0), None);
 }
