Hold entries only after a silence in which they can lapse

The store forgot its history and cut the polls of both readers; any failed call counted as an outage, after which entries that go are held for 2.3 s. They are held now only if there was no word of the list for 2 s, from anyone; entries lapse after three heartbeats. Ruled out: news between gateways (all had it 0.1 s after the readers). Test: entry_that_goes_after_a_short_break_is_gone_at_once.

A list that a lagging copy of the store answers is passed over.

--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -87,15 +87,28 @@
     }
     if let Some(slots) = batch_slots(gateway, job) {
         let limit = admission::load_limit(slots, job.admitted.priority, progress);
+        let least = open.iter().map(|(_, it)| it.load).fold(f64::MAX, f64::min);
+        if least >= limit {
+            spdlog::info!(
+                "place: id={} route={} overloaded=true least_load={least} limit={limit} open={} \
+                 known={} sent={} config={} list_age_ms={}",
+                job.ask.attempt,
+                job.route().name,
+                open.len(),
+                known.len(),
+                tries.sent,
+                gateway.version(),
+                gateway.list_age_ms()
+            );
+            return Next::Overloaded;
+        }
         open.retain(|(_, it)| it.load < limit);
     }
     let candidates: Vec<Candidate> = open.iter().map(|(_, it)| *it).collect();
     let pick = hash64(job.ask.attempt.as_bytes());
     let running = |key| f64::from(loads.with_prefix(key) + 1);
     let prefix = job.prefix.map(|key| Prefix { key, running: running(key) });
-    let Some(at) = placement::choose(prefix, &candidates, pick) else {
-        return Next::Overloaded;
-    };
+    let Some(at) = placement::choose(prefix, &candidates, pick) else { return Next::None };
     let (slot, chosen) = &open[at];
     spdlog::info!(
         "place: id={} route={} endpoint={} load={} near={} failing={:.2} open={} known={} sent={} \
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -116,14 +116,7 @@
                     }
                 }
             }
-            Err(err) => {
-                if !err.is_expired() {
-                    // Entries may lapse in an outage that the list's own
-                    // reader does not meet.
-                    gateway.endpoints_unread();
-                }
-                cursor.back_off(&err).await;
-            }
+            Err(err) => cursor.back_off(&err).await,
         }
     }
 }
@@ -134,6 +127,13 @@
     loop {
         let was_lost = cursor.lost;
         match cursor.read(&gateway, Duration::ZERO).await {
+            Ok((page, _)) if page.next < gateway.endpoints_offset.get() => {
+                // A copy of the store that is behind must not undo what is known.
+                let known = gateway.endpoints_offset.get();
+                spdlog::warn!("store: topic=Endpoints stale=true next={} known={known}", page.next);
+                cursor.next = None;
+                sleep(FIRST_RETRY).await;
+            }
             Ok((page, whole)) => {
                 if was_lost {
                     // A wait for the configuration may have been lost as well.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -132,7 +132,7 @@
 
     /// Notes that the list of endpoints was read.
     pub(crate) fn endpoints_read(&self) {
-        self.endpoints.borrow_mut().list_returned(self.now());
+        self.endpoints.borrow_mut().list_returned(self.list_age_ms(), self.now());
         self.list_heard.set(self.now());
         self.config_heard.set(self.now());
     }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -101,7 +101,7 @@
 
 async fn copy(gateway: &Gateway, address: Ipv4Addr, want: Want) -> io::Result<State> {
     let mut stream = TcpStream::connect((address, gateway.settings.listen.peers)).await?;
-    socket::prepare(&stream)?;
+    socket::prepare(&stream, socket::PEER_TIMEOUT)?;
     write_message(&mut stream, &want).await?;
     read_message(&mut stream).await
 }
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -16,6 +16,10 @@
 /// in milliseconds.
 pub const RETURN_GRACE_MS: u64 = 2_300;
 
+/// Silence of the list after which entries of live endpoints may have lapsed,
+/// in milliseconds.
+pub const LAPSE_MS: u64 = 2_000;
+
 /// A change of the set of endpoints.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
@@ -113,14 +117,15 @@
         self.away = true;
     }
 
-    /// Notes that the list can be read again; holds end [`RETURN_GRACE_MS`]
-    /// after the first such note.
-    pub fn list_returned(&mut self, now: Millis) {
-        self.read = true;
-        if self.away {
-            self.away = false;
+    /// Notes that the list was read, `silence_ms` after there was last word of
+    /// it; if that was long enough for live endpoints' entries to lapse, they
+    /// are held from now on.
+    pub fn list_returned(&mut self, silence_ms: u64, now: Millis) {
+        self.away = false;
+        if self.read && silence_ms >= LAPSE_MS {
             self.returned = Some(now);
         }
+        self.read = true;
     }
 
     /// Drops held entries whose time is over; returns their identifiers.
@@ -165,7 +170,7 @@
     }
 
     fn is_grace(&self, now: Millis) -> bool {
-        self.away || self.returned.is_some_and(|at| now.since(at) < RETURN_GRACE_MS)
+        self.returned.is_some_and(|at| now.since(at) < RETURN_GRACE_MS)
     }
 }
 
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -7,7 +7,7 @@
     cached::{CachedPrefixes, fetch_source},
     config::{Denial, RouteTable, Workspace},
     crashers::{CRASH_LIMIT, Crashers, FORGET_MS},
-    endpoints::{Change, Endpoints, RETURN_GRACE_MS},
+    endpoints::{Change, Endpoints, LAPSE_MS, RETURN_GRACE_MS},
     events::EventCutter,
     health::{Health, Outcome},
     retry_budget::{RetryBudget, RetryLimit},
@@ -105,7 +105,7 @@
 #[test]
 fn entry_that_goes_in_calm_is_gone_at_once() {
     let mut endpoints = Endpoints::default();
-    endpoints.list_returned(NOW);
+    endpoints.list_returned(0, NOW);
     assert!(endpoints.apply(listed("i-1"), NOW));
     assert!(!endpoints.apply(listed("i-1"), NOW), "a heartbeat changes nothing");
     assert!(endpoints.apply(gone("i-1"), NOW + RETURN_GRACE_MS));
@@ -115,10 +115,11 @@
 #[test]
 fn entry_that_lapses_in_an_outage_is_held_until_it_returns() {
     let mut endpoints = Endpoints::default();
+    endpoints.list_returned(0, NOW);
     endpoints.apply(listed("i-1"), NOW);
     endpoints.apply(listed("i-2"), NOW);
     endpoints.list_lost();
-    endpoints.list_returned(NOW);
+    endpoints.list_returned(LAPSE_MS, NOW);
     endpoints.apply(gone("i-1"), NOW);
     endpoints.apply(gone("i-2"), NOW);
     assert!(endpoints.expire(NOW + RETURN_GRACE_MS - 1).is_empty());
@@ -128,11 +129,25 @@
     assert!(endpoints.get("i-2").is_some());
 }
 
+#[test]
+fn entry_that_goes_after_a_short_break_is_gone_at_once() {
+    let mut endpoints = Endpoints::default();
+    endpoints.list_returned(0, NOW);
+    endpoints.apply(listed("i-1"), NOW);
+    // One call failed: no entry can have lapsed since the last word.
+    endpoints.list_lost();
+    endpoints.list_returned(LAPSE_MS - 1, NOW);
+    assert!(endpoints.apply(gone("i-1"), NOW));
+    assert_eq!(endpoints.iter().count(), 0);
+}
+
 #[test]
 fn draining_entry_is_not_held() {
     let mut endpoints = Endpoints::default();
+    endpoints.list_returned(0, NOW);
     endpoints.apply(Change::Listed(endpoint("i-1", EndpointState::Draining)), NOW);
     endpoints.list_lost();
+    endpoints.list_returned(LAPSE_MS, NOW);
     assert!(!endpoints.any_ready());
     assert!(endpoints.apply(gone("i-1"), NOW));
 }
