Read for itself what lists held entries again

One reader held entries that had lapsed; the other had read on to where they are listed again. Both lists were equal, so the first took over the other's offset, skipped those records, and dropped the endpoints when their time was over, for all gateways. An offset is taken over now only without holds. Ruled out: the store (the records were there). Test that failed first: gateway_that_holds_entries_reads_for_itself_what_lists_them_again.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -127,9 +127,9 @@
     loop {
         let was_lost = cursor.lost;
         match cursor.read(&gateway, Duration::ZERO).await {
-            Ok((page, _)) if page.next < gateway.endpoints_offset.get() => {
+            Ok((page, _)) if page.next < gateway.endpoints.borrow().offset() => {
                 // A copy of the store that is behind must not undo what is known.
-                let known = gateway.endpoints_offset.get();
+                let known = gateway.endpoints.borrow().offset();
                 spdlog::warn!("store: topic=Endpoints stale=true next={} known={known}", page.next);
                 cursor.next = None;
                 sleep(FIRST_RETRY).await;
@@ -144,7 +144,7 @@
                 peers::send_stamp(&gateway).await;
                 sleep(ENDPOINTS_PAUSE).await;
                 wait_for_turn(&gateway).await;
-                cursor.skip_to(gateway.endpoints_offset.get());
+                cursor.skip_to(gateway.endpoints.borrow().offset());
             }
             Err(err) => {
                 if !err.is_expired() {
@@ -153,7 +153,7 @@
                 cursor.back_off(&err).await;
                 if !err.is_expired() {
                     wait_for_turn(&gateway).await;
-                    cursor.skip_to(gateway.endpoints_offset.get());
+                    cursor.skip_to(gateway.endpoints.borrow().offset());
                 }
             }
         }
@@ -179,7 +179,7 @@
     }
     if whole {
         let listed = changes.into_iter().filter_map(|it| it.into_listed()).collect();
-        gateway.replace_endpoints(listed, page.next, "store");
+        gateway.replace_endpoints(listed, page.next);
     } else {
         gateway.apply_changes(changes, page.next);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 
 use mimosaledge_core::{Millis, Name};
 use mimosaledge_policy::{
-    FleetConfig,
+    Endpoint, FleetConfig,
     cached::CachedPrefixes,
     config::RouteTable,
     crashers::Crashers,
@@ -43,7 +43,6 @@
     pub(crate) config: RefCell<Option<Rc<FleetConfig>>>,
     pub(crate) routes: RefCell<Rc<RouteTable>>,
     pub(crate) endpoints: RefCell<Endpoints>,
-    pub(crate) endpoints_offset: Cell<u64>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) crashers: RefCell<Crashers>,
@@ -84,7 +83,6 @@
             config: RefCell::default(),
             routes: RefCell::default(),
             endpoints: RefCell::default(),
-            endpoints_offset: Cell::new(0),
             fleet: RefCell::default(),
             budget: RefCell::new(RetryBudget::from_limit(limit)),
             crashers: RefCell::default(),
@@ -169,7 +167,7 @@
                 applied.push(change);
             }
         }
-        self.endpoints_offset.set(offset);
+        endpoints.settle(offset);
         if !applied.is_empty() {
             let before = self.digest.get();
             self.list_changed(&endpoints);
@@ -191,20 +189,6 @@
         self.list_changed(&endpoints);
     }
 
-    /// Takes over another gateway's list of endpoints as of `offset`.
-    pub(crate) fn adopt_endpoints(
-        &self,
-        entries: Vec<mimosaledge_policy::Endpoint>,
-        offset: u64,
-        source: &str,
-    ) {
-        let mut endpoints = self.endpoints.borrow_mut();
-        spdlog::info!("endpoints: listed={} offset={offset} source={source}", entries.len());
-        endpoints.adopt(entries);
-        self.endpoints_offset.set(offset);
-        self.list_changed(&endpoints);
-    }
-
     /// Brings requests in line with a changed list.
     fn list_changed(&self, endpoints: &Endpoints) {
         self.digest.set(endpoints.digest());
@@ -215,7 +199,7 @@
     pub(crate) fn stamp(&self) -> Stamp {
         Stamp {
             version: self.version(),
-            offset: self.endpoints_offset.get(),
+            offset: self.endpoints.borrow().offset(),
             digest: self.digest.get(),
             age_ms: self.now().since(self.list_heard.get()),
         }
@@ -227,7 +211,7 @@
             return;
         }
         let heard = self.hear_list(stamp.age_ms);
-        self.endpoints_offset.set(self.endpoints_offset.get().max(stamp.offset));
+        self.endpoints.borrow_mut().settle(stamp.offset);
         if stamp.version == self.version() {
             self.config_heard.set(self.config_heard.get().max(heard));
         }
@@ -247,17 +231,20 @@
         self.now().since(self.list_heard.get())
     }
 
-    /// Replaces the list of endpoints as of `offset`.
-    pub(crate) fn replace_endpoints(
-        &self,
-        entries: Vec<mimosaledge_policy::Endpoint>,
-        offset: u64,
-        source: &str,
-    ) {
+    /// Replaces the list of endpoints by the store's as of `offset`.
+    pub(crate) fn replace_endpoints(&self, entries: Vec<Endpoint>, offset: u64) {
+        spdlog::info!("endpoints: listed={} offset={offset} source=store", entries.len());
         let mut endpoints = self.endpoints.borrow_mut();
-        spdlog::info!("endpoints: listed={} offset={offset} source={source}", entries.len());
         endpoints.replace(entries, self.now());
-        self.endpoints_offset.set(offset);
+        endpoints.settle(offset);
+        self.list_changed(&endpoints);
+    }
+
+    /// Replaces the list of endpoints by another gateway's as of `offset`.
+    pub(crate) fn adopt_endpoints(&self, entries: Vec<Endpoint>, offset: u64, source: &str) {
+        spdlog::info!("endpoints: listed={} offset={offset} source={source}", entries.len());
+        let mut endpoints = self.endpoints.borrow_mut();
+        endpoints.adopt(entries, offset);
         self.list_changed(&endpoints);
     }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -140,7 +140,8 @@
 
 fn keep_up(gateway: &Rc<Gateway>) {
     let now = gateway.now();
-    gateway.apply_changes(Vec::new(), gateway.endpoints_offset.get());
+    let offset = gateway.endpoints.borrow().offset();
+    gateway.apply_changes(Vec::new(), offset);
     for slot in gateway.fleet.borrow().slots() {
         slot.pool.trim();
         let slot = slot.clone();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -69,7 +69,7 @@
 }
 
 async fn copy_from(gateway: &Gateway, address: Ipv4Addr) {
-    let want = Want { version: gateway.version(), offset: gateway.endpoints_offset.get() };
+    let want = Want { version: gateway.version(), offset: gateway.endpoints.borrow().offset() };
     match timeout(COPY_TIMEOUT, copy(gateway, address, want)).await {
         Ok(Ok(state)) => apply(gateway, state, address),
         Ok(Err(err)) => spdlog::info!("sync: address={address} failed, cause={err}"),
@@ -112,7 +112,7 @@
         gateway.apply_config(config, &source);
     }
     if let Some(endpoints) = state.endpoints
-        && state.offset > gateway.endpoints_offset.get()
+        && state.offset > gateway.endpoints.borrow().offset()
         && !gateway.reads_endpoints()
     {
         gateway.adopt_endpoints(endpoints, state.offset, &source);
@@ -122,7 +122,7 @@
 
 async fn give_copy(gateway: &Gateway, mut stream: TcpStream) -> io::Result<()> {
     let want: Want = read_message(&mut stream).await?;
-    let offset = gateway.endpoints_offset.get();
+    let offset = gateway.endpoints.borrow().offset();
     let state = State {
         config: gateway
             .config
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -47,6 +47,7 @@
     away: bool,
     read: bool,
     returned: Option<Millis>,
+    offset: u64,
 }
 
 impl Endpoints {
@@ -80,8 +81,9 @@
 
     /// Takes over the list of another gateway, which has held what is to be
     /// held.
-    pub fn adopt(&mut self, entries: Vec<Endpoint>) {
+    pub fn adopt(&mut self, entries: Vec<Endpoint>, offset: u64) {
         self.held.clear();
+        self.offset = self.offset.max(offset);
         self.listed = entries.into_iter().map(|it| (it.id.clone(), it)).collect();
     }
 
@@ -107,6 +109,23 @@
         self.listed.values().fold(0, |sum, it| sum ^ entry_digest(it))
     }
 
+    /// Returns up to which offset the list is settled: what was read beyond it
+    /// has put entries on hold.
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Notes that the list is the one at `offset`, as read or as another gateway
+    /// with the same list says.
+    ///
+    /// A gateway that holds entries must itself read the records that list them
+    /// again, so it stays where it is until then.
+    pub fn settle(&mut self, offset: u64) {
+        if self.held.is_empty() {
+            self.offset = self.offset.max(offset);
+        }
+    }
+
     /// Returns whether the list cannot be read, or has not been read yet.
     pub fn is_away(&self) -> bool {
         self.away || !self.read
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -129,6 +129,26 @@
     assert!(endpoints.get("i-2").is_some());
 }
 
+#[test]
+fn gateway_that_holds_entries_reads_for_itself_what_lists_them_again() {
+    let mut endpoints = Endpoints::default();
+    endpoints.list_returned(0, NOW);
+    endpoints.apply(listed("i-1"), NOW);
+    endpoints.settle(24);
+    endpoints.list_lost();
+    endpoints.list_returned(LAPSE_MS, NOW);
+    endpoints.apply(gone("i-1"), NOW);
+    endpoints.settle(30);
+    // Another gateway has read on to where the entry is listed again; its list
+    // is the same, since the entry is only held here.
+    endpoints.settle(36);
+    assert_eq!(endpoints.offset(), 24, "the record that lists the entry would be skipped");
+    endpoints.apply(listed("i-1"), NOW + 1_500);
+    endpoints.settle(36);
+    assert_eq!(endpoints.offset(), 36);
+    assert!(endpoints.expire(NOW + RETURN_GRACE_MS).is_empty());
+}
+
 #[test]
 fn entry_that_goes_after_a_short_break_is_gone_at_once() {
     let mut endpoints = Endpoints::default();
@@ -161,7 +181,7 @@
     assert!(endpoints.get("i-1").is_none() && endpoints.get("i-2").is_some());
     assert_ne!(endpoints.digest(), before);
     let mut copy = Endpoints::default();
-    copy.adopt(endpoints.iter().cloned().collect());
+    copy.adopt(endpoints.iter().cloned().collect(), 7);
     assert_eq!(copy.digest(), endpoints.digest());
     copy.adopt_changes(vec![listed("i-1"), gone("i-2")]);
     assert_eq!(copy.digest(), before);
