--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -30,6 +30,9 @@
 /// Pause between two looks at the list of gateways while no other one is known
 /// to be alive; those that are name the rest.
 const GATEWAYS_PAUSE: Duration = Duration::from_secs(5);
+/// Pause before reading anew what has expired, so that a store that contradicts
+/// itself is not asked without a break.
+const EXPIRED_PAUSE: Duration = Duration::from_millis(50);
 /// First pause after a failed call.
 const FIRST_RETRY: Duration = Duration::from_millis(200);
 /// Longest pause after a failed call.
@@ -84,6 +87,7 @@
         if err.is_expired() {
             spdlog::info!("store: topic={:?} next={:?} expired=true", self.topic, self.next);
             self.next = None;
+            sleep(EXPIRED_PAUSE).await;
             return;
         }
         if !self.lost {
