Read the settings again at a hangup, and pass on large answers

A hangup was only logged: now bounds and seeds come into force, and a file that cannot be read is refused (gateway_survives_hangup asserts both, failed first).

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -33,7 +33,7 @@
 /// long at most.
 const REFUSED_WAIT_MS: u64 = 150;
 /// Largest answer that is collected before it is passed on, in bytes.
-const MAX_WHOLE_BYTES: usize = 512 * 1024;
+const MAX_WHOLE_BYTES: usize = 8 << 20;
 /// Time between a broken connection and the look whether its endpoint died.
 const DEATH_LOOK: Duration = Duration::from_millis(30);
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
     config::RouteTable,
     crashers::Crashers,
     endpoints::{Change, Endpoints},
-    retry_budget::{RetryBudget, RetryLimit},
+    retry_budget::RetryBudget,
 };
 use tokio::{net::UdpSocket, sync::Notify};
 
@@ -24,7 +24,7 @@
     loads::Loads,
     metrics::Metrics,
     peers::{News, Peers, Stamp},
-    settings::Settings,
+    settings::{Bounds, Settings},
     store::Store,
 };
 
@@ -35,6 +35,8 @@
 /// One gateway.
 pub(crate) struct Gateway {
     pub(crate) settings: Settings,
+    /// The bounds in force, which a reload may change.
+    pub(crate) bounds: Cell<Bounds>,
     pub(crate) clock: Clock,
     pub(crate) dialect: Box<dyn Dialect>,
     pub(crate) store: Box<dyn Store>,
@@ -66,15 +68,12 @@
         metrics: Metrics,
     ) -> Gateway {
         let clock = Clock::start();
-        let bounds = settings.bounds;
-        let limit = RetryLimit {
-            ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack,
-            window_ms: (bounds.retry_window_s * 1_000.0) as u64,
-        };
+        let limit = settings.bounds.to_retry_limit();
+        let bounds = Cell::new(settings.bounds);
         let peers = Peers::new(&settings, clock.now());
         Gateway {
             settings,
+            bounds,
             clock,
             dialect,
             store,
@@ -98,6 +97,16 @@
         }
     }
 
+    /// Puts new settings in force, as far as that needs no restart.
+    pub(crate) fn reload(&self, settings: &Settings) {
+        self.bounds.set(settings.bounds);
+        self.budget.borrow_mut().set_limit(settings.bounds.to_retry_limit());
+        let mut peers = self.peers.borrow_mut();
+        for seed in settings.seeds.iter().flatten() {
+            peers.add(*seed.ip(), self.now());
+        }
+    }
+
     /// Reads the clock.
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts, watches and stops a gateway.
 
-use std::{panic, rc::Rc, time::Duration};
+use std::{panic, path::Path, rc::Rc, time::Duration};
 
 use eyre::{Context, Result};
 use mimosaledge_net::{runtime, server};
@@ -39,17 +39,23 @@
 /// Pause between two looks whether all connections have ended.
 const END_LOOK: Duration = Duration::from_millis(50);
 
-/// Runs a gateway until it is asked to stop.
+/// Runs a gateway until it is asked to stop; `path` is the file that `settings`
+/// were read from, and is read again at a hangup.
 ///
 /// # Errors
 ///
 /// Returns an error if the gateway cannot listen or watch signals.
-pub fn run(settings: Settings, dialect: Box<dyn Dialect>, store: Box<dyn Store>) -> Result<()> {
+pub fn run(
+    path: &Path,
+    settings: Settings,
+    dialect: Box<dyn Dialect>,
+    store: Box<dyn Store>,
+) -> Result<()> {
     let log = LogSink::install()?;
     log_panics();
     let metrics = Metrics::new()?;
     let gateway = Rc::new(Gateway::new(settings, dialect, store, metrics));
-    let ended = runtime::block_on(async { serve(gateway.clone(), &log).await })?;
+    let ended = runtime::block_on(async { serve(gateway.clone(), path, &log).await })?;
     if let Err(err) = &ended {
         spdlog::error!("gateway: failed, cause={err:?}");
     }
@@ -64,7 +70,7 @@
     }));
 }
 
-async fn serve(gateway: Rc<Gateway>, log: &LogSink) -> Result<()> {
+async fn serve(gateway: Rc<Gateway>, path: &Path, log: &LogSink) -> Result<()> {
     // First of all: until a signal is watched, it kills the process.
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -97,13 +103,29 @@
             }
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = reload.recv() => spdlog::info!("gateway: reload, settings stay in force"),
+            _ = reload.recv() => read_again(&gateway, path),
         }
     }
     stop(&gateway, accepting, log).await;
     Ok(())
 }
 
+fn read_again(gateway: &Gateway, path: &Path) {
+    match Settings::from_file(path) {
+        Ok(settings) => {
+            let restart = settings.listen != gateway.settings.listen
+                || settings.store != gateway.settings.store
+                || settings.address != gateway.settings.address;
+            gateway.reload(&settings);
+            spdlog::info!(
+                "gateway: reload=done needs_restart={restart} bounds={:?}",
+                settings.bounds
+            );
+        }
+        Err(err) => spdlog::error!("gateway: reload=refused cause={:?}", format!("{err:#}")),
+    }
+}
+
 fn listen_all(gateway: &Rc<Gateway>) -> Result<JoinHandle<()>> {
     let listen = &gateway.settings.listen;
     let clients = socket::listen(listen.clients).wrap_err("cannot listen for clients")?;
@@ -153,7 +175,7 @@
 
 async fn stop(gateway: &Rc<Gateway>, accepting: JoinHandle<()>, log: &LogSink) {
     let began = Instant::now();
-    let grace = Duration::from_secs_f64(gateway.settings.bounds.grace_s);
+    let grace = Duration::from_secs_f64(gateway.bounds.get().grace_s);
     let end = began + grace.saturating_sub(EXIT_MARGIN);
     gateway.drain.enter(Phase::Leaving);
     spdlog::info!("gateway: stopping connections={}", gateway.drain.connections());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,10 +8,11 @@
 
 use eyre::{Context, Result, ensure};
 use mimosaledge_core::Name;
+use mimosaledge_policy::retry_budget::RetryLimit;
 use serde::Deserialize;
 
 /// Where a gateway listens.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// For clients' requests.
@@ -27,7 +28,7 @@
 }
 
 /// The platform's store.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSettings {
     /// Its address.
@@ -72,6 +73,17 @@
     pub bounds: Bounds,
 }
 
+impl Bounds {
+    /// Returns the bound on repeats.
+    pub(crate) fn to_retry_limit(self) -> RetryLimit {
+        RetryLimit {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window_ms: (self.retry_window_s * 1_000.0) as u64,
+        }
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -41,6 +41,11 @@
         RetryBudget { limit, services: HashMap::new() }
     }
 
+    /// Changes the bound from now on.
+    pub fn set_limit(&mut self, limit: RetryLimit) {
+        self.limit = limit;
+    }
+
     /// Notes a client's request to `service`.
     pub fn note_request(&mut self, service: &Name, now: Millis) {
         let usage = self.services.entry(service.clone()).or_default();
