--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -140,7 +140,7 @@
                 let suspect_until = known.suspect_until;
                 // The first heartbeats of a starting fleet come round slowly;
                 // they must not end the time that its introduction gave.
-                let heard_at = now.max(known.heard_at);
+                let heard_at = heard_time(&heartbeat, known.heard_at, now);
                 *known = Member { suspect_until, heard_at, ..member };
                 true
             }
@@ -159,7 +159,7 @@
         let known = known.filter(|it| it.heartbeat.router.id != own);
         let member = known.filter(|it| beat > it.heartbeat.beat)?;
         member.heartbeat.beat = beat;
-        member.heard_at = now.max(member.heard_at);
+        member.heard_at = heard_time(&member.heartbeat, member.heard_at, now);
         Some(member.heartbeat.router.id)
     }
 
@@ -271,6 +271,12 @@
     }
 }
 
+/// Returns when a router counts as heard: a later time that its introduction
+/// gave is kept, unless it is about to stop.
+fn heard_time(heartbeat: &Heartbeat, known: Millis, now: Millis) -> Millis {
+    if heartbeat.draining { now } else { now.max(known) }
+}
+
 /// A restarted router draws a new incarnation, which replaces the old one once
 /// that has fallen silent or whenever the new one speaks for itself later.
 fn is_newer(heartbeat: &Heartbeat, known: &Member, now: Millis, dead_after: u64) -> bool {
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -48,3 +48,13 @@
     assert_eq!(members.peers(start + START_MS + 100 + DEAD_AFTER_MS - 1).count(), 1);
     assert_eq!(members.peers(start + START_MS + 100 + DEAD_AFTER_MS).count(), 0);
 }
+
+#[test]
+fn router_that_stops_while_the_fleet_starts_is_dead_in_time() {
+    let start = Millis(1_000);
+    let mut members = started_fleet(start);
+    members.hear(heartbeat(2, 7, 1), start + 100);
+    members.hear(Heartbeat { draining: true, ..heartbeat(2, 7, 2) }, start + 500);
+    assert_eq!(members.peers(start + 500 + DEAD_AFTER_MS - 1).count(), 1);
+    assert_eq!(members.peers(start + 500 + DEAD_AFTER_MS).count(), 0);
+}
