Begin to serve only when the fleet is known; find a restarted home

Cause of routers_roll's unknown key: a router that had restarted 150 ms before answered callers who kept its address. It knew no peer yet, so the prefix that it gave out had no witness; the next router had not heard of its new run, took the key's home for out of reach and, without a witness to ask, answered 4001.

Ruled out: a witness that had restarted (its key would have been older than the prefix), a lost datagram (the witness was never asked).

A router now says in its heartbeat whether it is starting, and is neither located nor made a witness nor reads requests until it has a configuration, a live endpoint, a peer and a judgement of every endpoint (the last two for 3 s at most). A key whose home is a newer run than the one known is passed on to its address. A router that does not read requests tells a caller with a key that it cannot judge it (4005) in place of a possibly untrue not-run.

In head_survives_all_routers_being_replaced_one_by_one the router that the last request goes to must now be serving, as callers wait for; it fails if that never comes.

--- a/crates/cli/tests/publish.rs
+++ b/crates/cli/tests/publish.rs
@@ -202,7 +202,7 @@
             settings.seeds = fleet.routers[at + 1..].iter().map(|it| it.peer).collect();
             fleet.start_router(settings).await;
             let started = fleet.routers.last().unwrap().ops;
-            fleet.until(started, |it| it.in_force == Some(1)).await;
+            fleet.until(started, |it| it.in_force == Some(1) && it.state == "serving").await;
             fleet.routers[at].member.kill().await;
         }
         assert_eq!(fleet.chat(5, "c", 1).await.unwrap().code, 1000);
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -72,11 +72,13 @@
     KeysFull = 3006, 503, NotRun, "idempotency key table is full";
     WitnessSilent = 3007, 503, NotRun, "witness router did not confirm the key";
     EndpointRefused = 3008, 503, NotRun, "endpoint refused the request";
+    Starting = 3009, 503, NotRun, "router has just started and is not ready";
     StillRunning = 4000, 409, Unknown, "request is still running";
     OutcomeUnknown = 4001, 502, Unknown, "request may have run and its outcome is unknown";
     AnswerBroken = 4002, 502, Unknown, "answer broke off or failed its identity check";
     DeadlinePassed = 4003, 504, Unknown, "deadline passed while the request ran";
     KeyExpired = 4004, 410, Unknown, "idempotency key is too old to be judged";
+    KeyUnjudged = 4005, 503, Unknown, "router cannot judge the idempotency key now; ask another";
 }
 
 impl fmt::Display for Code {
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    code::Code,
     hash::{hash32, rendezvous_score},
     time::Millis,
 };
@@ -45,7 +46,38 @@
 )]
 pub struct RunTag(pub u32);
 
+/// How far a router is in its life, as others need to know it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// It does not know enough of the fleet yet to serve.
+    Starting,
+    /// It takes new work.
+    Serving,
+    /// It has begun a planned stop.
+    Draining,
+}
+
+impl Phase {
+    /// Returns the code with which a router that does not serve turns a request
+    /// away unread.
+    ///
+    /// A request with a key may have run on an earlier attempt, which such a
+    /// router cannot tell.
+    pub fn refusal(self, is_keyed: bool) -> Code {
+        match self {
+            _ if is_keyed => Code::KeyUnjudged,
+            Phase::Starting => Code::Starting,
+            Phase::Serving | Phase::Draining => Code::Draining,
+        }
+    }
+}
+
 impl Heartbeat {
+    /// Returns whether the router takes new work.
+    pub fn is_serving(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
     /// Returns whether `other` says the same but for the count.
     pub fn says_same(&self, other: &Heartbeat) -> bool {
         Heartbeat { beat: other.beat, ..*self } == *other
@@ -75,8 +107,8 @@
     pub peer: SocketAddr,
     /// Hash of the router's data centre.
     pub zone: u32,
-    /// Whether the router has begun a planned stop.
-    pub draining: bool,
+    /// How far the router is in its life.
+    pub phase: Phase,
     /// Offset of its accepted head plus one; zero if it has none.
     pub head: u64,
 }
@@ -182,6 +214,26 @@
         self.table.get(&id)
     }
 
+    /// Returns where to reach `run`, unless a later run has replaced it.
+    ///
+    /// A run that is newer than the one known has just started, at the same
+    /// address.
+    pub fn find_run(&self, run: RouterRef) -> Option<Heartbeat> {
+        let known = self.table.get(&run.id)?.heartbeat;
+        (known.router.incarnation <= run.incarnation).then_some(known)
+    }
+
+    /// Returns whether no other router is known.
+    pub fn is_alone(&self) -> bool {
+        self.table.len() == 1
+    }
+
+    /// Returns whether another router has spoken.
+    pub fn has_heard_peer(&self) -> bool {
+        let mut routers = self.table.values().map(|it| it.heartbeat.router);
+        routers.any(|it| it.id != self.own.id && it.incarnation != 0)
+    }
+
     /// Excuses the silence of all routers for `pause_ms`, during which this
     /// process itself was paused and could hear nobody.
     pub fn excuse(&mut self, pause_ms: u64) {
@@ -236,7 +288,7 @@
     /// `zone` by rendezvous hashing, then the rest.
     pub fn rank(&self, key: u64, zone: u32, now: Millis) -> Vec<Heartbeat> {
         let mut ranked: Vec<Heartbeat> =
-            self.alive(now).map(|it| it.heartbeat).filter(|it| !it.draining).collect();
+            self.alive(now).map(|it| it.heartbeat).filter(Heartbeat::is_serving).collect();
         ranked.sort_by(|a, b| {
             let score = |it: &Heartbeat| rendezvous_score(key, u64::from(it.router.id), 1.0);
             let local = |it: &Heartbeat| it.zone == zone;
@@ -263,7 +315,7 @@
         let score = |it: &Heartbeat| rendezvous_score(key, u64::from(it.router.id), 1.0);
         self.peers(now)
             .map(|it| it.heartbeat)
-            .filter(|it| !it.draining && it.router.incarnation != 0)
+            .filter(|it| it.is_serving() && it.router.incarnation != 0)
             .max_by(|a, b| {
                 let far = |it: &Heartbeat| it.zone != zone;
                 far(a).cmp(&far(b)).then(score(a).total_cmp(&score(b)))
@@ -274,7 +326,7 @@
 /// Returns when a router counts as heard: a later time that its introduction
 /// gave is kept, unless it is about to stop.
 fn heard_time(heartbeat: &Heartbeat, known: Millis, now: Millis) -> Millis {
-    if heartbeat.draining { now } else { now.max(known) }
+    if heartbeat.phase == Phase::Draining { now } else { now.max(known) }
 }
 
 /// A restarted router draws a new incarnation, which replaces the old one once
--- a/crates/core/tests/cores.rs
+++ b/crates/core/tests/cores.rs
@@ -8,7 +8,7 @@
     chart::Chart,
     code::Code,
     endpoints::{EndpointId, EndpointInfo, EndpointKind, Endpoints, LoadReport},
-    members::{DEAD_AFTER_MS, Heartbeat, Members, RouterRef, zone_hash},
+    members::{DEAD_AFTER_MS, Heartbeat, Members, Phase, RouterRef, zone_hash},
     quarantine::{CRASH_MEMORY_MS, Death, Quarantine, Standing},
 };
 
@@ -20,7 +20,7 @@
         http: ([127, 0, 0, 1], 1_000 + id as u16).into(),
         peer: ([127, 0, 0, 1], 2_000 + id as u16).into(),
         zone: zone_hash(zone),
-        draining: false,
+        phase: Phase::Serving,
         head: 0,
     }
 }
@@ -96,7 +96,7 @@
 #[test]
 fn draining_router_is_not_located() {
     let mut members = fleet(6);
-    members.hear(Heartbeat { draining: true, ..heartbeat(3, 1, 1) }, Millis(0));
+    members.hear(Heartbeat { phase: Phase::Draining, ..heartbeat(3, 1, 1) }, Millis(0));
     let ranked = members.rank(5, zone_hash("a"), Millis(0));
     assert!(ranked.iter().all(|it| it.router.id != 3));
     assert_eq!(ranked.len(), 5);
--- a/crates/replay/src/driver.rs
+++ b/crates/replay/src/driver.rs
@@ -24,7 +24,7 @@
 /// Tokens of the prompt that all chats of a workspace share.
 const SYSTEM_TOKENS: u32 = 300;
 /// Codes after which the same key is sent again.
-const ASK_AGAIN: [u16; 2] = [4000, 4003];
+const ASK_AGAIN: [u16; 3] = [4000, 4003, 4005];
 
 /// What a chat carries from one request to the next.
 #[derive(Debug, Default)]
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -6,7 +6,7 @@
     endpoints::{EndpointId, EndpointInfo, EndpointKind},
     hash::hash32,
     head::Verdict,
-    members::{Heartbeat, RouterRef, zone_hash},
+    members::{Heartbeat, Phase, RouterRef, zone_hash},
 };
 use mimosaledge_net::{Page, Vm, VmKind, log::CONFIG_STREAM};
 use spdlog::{error, info, warn};
@@ -75,7 +75,6 @@
         if cores.in_force.follow(head) {
             info!("follow: head {} is in force with preset {}", head.offset, head.preset);
             node.metrics.head.set(head.offset as i64 + 1);
-            cores.life.apply("config_applied");
         }
         if let Some((offset, err)) = cores.in_force.fault() {
             error!("follow: head {offset} cannot be put in force: {err}");
@@ -205,7 +204,7 @@
         http: vm.addr,
         peer: vm.peer?,
         zone: zone_hash(&vm.zone),
-        draining: vm.leaving,
+        phase: if vm.leaving { Phase::Draining } else { Phase::Starting },
         head: 0,
     })
 }
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -12,7 +12,7 @@
     answer::{Refusal, refuse, set_code, set_header},
     generate, locate,
     node::Node,
-    once,
+    once, ready,
     request::Ask,
     service,
 };
@@ -23,10 +23,10 @@
 }
 
 async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Response<ReplyBody> {
+    ready::check(&node);
     let response = match (request.method(), request.uri().path()) {
         (&Method::GET, "/locate") => locate::answer(&node, request.uri().query().unwrap_or("")),
-        // What started now could be cut by the exit.
-        (&Method::POST, "/v1/run") if node.is_done() => refuse(&node, Code::Draining),
+        (&Method::POST, "/v1/run") if !node.reads_requests() => turn_away(&node, &request),
         (&Method::POST, "/v1/run") => {
             let open = OpenRequest::new(&node);
             run(&node, request, open).await
@@ -38,6 +38,17 @@
     response
 }
 
+/// Refuses a request that a router does not read, since it is not ready or its
+/// exit could cut the answer.
+fn turn_away(node: &Node, request: &Request<Incoming>) -> Response<ReplyBody> {
+    let is_keyed = request.headers().contains_key("idempotency-key");
+    let code = match node.phase().refusal(is_keyed) {
+        Code::Starting if node.active().is_none() => Code::NoConfiguration,
+        code => code,
+    };
+    refuse(node, code)
+}
+
 async fn run(
     node: &Rc<Node>,
     request: Request<Incoming>,
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -168,11 +168,11 @@
 }
 
 fn beat(node: &Node, now: Millis) {
-    let draining = node.is_draining();
+    let phase = node.phase();
     let cores = &mut *node.cores.borrow_mut();
     let head = cores.fold.head_offset().map_or(0, |offset| offset + 1);
     cores.members.beat(now, |own| {
-        own.draining = draining;
+        own.phase = phase;
         own.head = head;
     });
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `peer` | exchanges datagrams with other routers |
 //! | `follow` | follows the platform's log and VM list |
 //! | `probe` | probes the endpoints that this router is home of |
+//! | `ready` | begins to serve once enough of the fleet is known |
 //! | `drain` | carries a planned stop out |
 
 mod admission;
@@ -36,6 +37,7 @@
 mod pending;
 mod placement;
 mod probe;
+mod ready;
 mod relay;
 mod request;
 mod run;
--- a/crates/router/src/locate.rs
+++ b/crates/router/src/locate.rs
@@ -7,7 +7,7 @@
     Code,
     hash::{hash32, rendezvous_score},
     head::Active,
-    members::{Heartbeat, zone_hash},
+    members::{Heartbeat, Phase, zone_hash},
     once::KeyPrefix,
 };
 use mimosaledge_net::server::{ReplyBody, reply};
@@ -52,7 +52,7 @@
     }
     let routers: Vec<SocketAddr> = ranked.iter().take(MAX_ROUTERS).map(|it| it.http).collect();
     if routers.is_empty() {
-        return refuse(node, Code::Draining);
+        return refuse(node, node.phase().refusal(false));
     }
     let key_prefix = issue_prefix(node).map(|it| it.to_string());
     let located = Located { routers, keep_ms: node.settings.limits.keep_ms, key_prefix };
@@ -84,9 +84,9 @@
     }
 }
 
-/// Gives out a prefix whose home is this router, unless it is about to stop.
+/// Gives out a prefix whose home is this router, if it takes new work.
 pub(crate) fn issue_prefix(node: &Node) -> Option<KeyPrefix> {
-    if node.is_draining() {
+    if node.phase() != Phase::Serving {
         return None;
     }
     let serial = u64::from(node.next_serial());
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -15,7 +15,7 @@
     gate::{AskId, Gate, Verdict},
     hash::hash32,
     head::{Active, Fold, InForce},
-    members::{Heartbeat, Members, RouterRef, zone_hash},
+    members::{Heartbeat, Members, Phase, RouterRef, zone_hash},
     once::{Home, KeyId, NoteReply, SealReply, Witness},
     place::Policy,
     quarantine::Quarantine,
@@ -187,14 +187,19 @@
         self.cores.borrow().in_force.current().cloned()
     }
 
-    /// Returns whether a planned stop has finished all requests.
-    pub(crate) fn is_done(&self) -> bool {
-        matches!(self.cores.borrow().life.state(), "handing_over" | "stopped")
+    /// Returns whether requests are read: from the time that the router is ready
+    /// until a planned stop has finished all of them.
+    pub(crate) fn reads_requests(&self) -> bool {
+        matches!(self.cores.borrow().life.state(), "serving" | "draining")
     }
 
-    /// Returns whether a planned stop has begun.
-    pub(crate) fn is_draining(&self) -> bool {
-        matches!(self.cores.borrow().life.state(), "draining" | "handing_over" | "stopped")
+    /// Returns how far the router is in its life.
+    pub(crate) fn phase(&self) -> Phase {
+        match self.cores.borrow().life.state() {
+            "starting" => Phase::Starting,
+            "serving" => Phase::Serving,
+            _ => Phase::Draining,
+        }
     }
 }
 
@@ -207,7 +212,7 @@
             http: settings.http,
             peer: settings.peer,
             zone: zone_hash(&settings.zone),
-            draining: false,
+            phase: Phase::Starting,
             head: 0,
         };
         let chart_error = |err| eyre!("broken state chart: {err}");
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -43,8 +43,8 @@
     if key.prefix.home == node.own {
         return answer_as_home(node, ask, key).await;
     }
-    let home = node.cores.borrow().members.get(key.prefix.home.id).map(|it| it.heartbeat);
-    let home = home.filter(|it| it.router == key.prefix.home && !ask.forwarded);
+    let home = node.cores.borrow().members.find_run(key.prefix.home);
+    let home = home.filter(|_| !ask.forwarded);
     if let Some(home) = home
         && let Some(response) = forward::pass_on(node, ask, home).await
     {
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -8,7 +8,7 @@
 use spdlog::{info, warn};
 use tokio::time;
 
-use crate::{admission, deaths, node::Node, peer};
+use crate::{admission, deaths, node::Node, peer, ready};
 
 /// Probes until it is dropped.
 pub(crate) async fn run(node: Rc<Node>) {
@@ -21,6 +21,7 @@
             tokio::task::spawn_local(probe(Rc::clone(&node), endpoint, period));
         }
         admission::settle_all(&node);
+        ready::check(&node);
     }
 }
 
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -244,6 +244,15 @@
         self.routers.push(Router { member, ops: ops_addr, peer: peer_addr, settings, stop });
     }
 
+    /// Starts one more engine and lists it.
+    pub(crate) async fn add_engine(&mut self) {
+        let (listener, addr) = bind().await;
+        let name = format!("engine-{}", self.engines.len());
+        let engine = self.start_engine(&name, listener, addr);
+        self.engines.push(engine);
+        self.list_vms().await;
+    }
+
     /// Starts engine `at` again on its old address.
     pub(crate) async fn restart_engine(&mut self, at: usize) {
         let (name, addr) = (self.engines[at].name.clone(), self.engines[at].addr);
@@ -448,6 +457,11 @@
     serde_json::from_slice(&body).unwrap()
 }
 
+/// Returns the HTTP status of the answer to GET `path`.
+pub(crate) async fn get_status(addr: SocketAddr, path: &str) -> u16 {
+    Call::get(addr, path).send().await.unwrap().status
+}
+
 pub(crate) async fn status(ops: SocketAddr) -> Option<Status> {
     let body = Call::get(ops, "/status").send_ok().await.ok()?;
     serde_json::from_slice(&body).ok()
