Keep one quarantine for requests that crash endpoints

The gateway's crashers and the router's quarantine decided the same thing twice. The quarantine now takes any identity of a death and the time for which one counts; the gateway's 120 s and the router's 600 s stay as they were. A death that is told again no longer lengthens a refusal, as already at the gateway; test added, and the gateway's test now stands with the core's. Tests of core and policy pass; no change of the gateway's decisions.

--- a/crates/core/tests/cores.rs
+++ b/crates/core/tests/cores.rs
@@ -9,7 +9,7 @@
     code::Code,
     endpoints::{EndpointId, EndpointInfo, EndpointKind, Endpoints, LoadReport},
     members::{DEAD_AFTER_MS, Heartbeat, Members, Phase, RouterRef, zone_hash},
-    quarantine::{CRASH_MEMORY_MS, Death, Quarantine, Standing},
+    quarantine::{CRASH_LIMIT, CRASH_MEMORY_MS, Death, Quarantine, Standing},
 };
 
 fn heartbeat(id: u32, incarnation: u64, beat: u32) -> Heartbeat {
@@ -216,6 +216,32 @@
     assert_eq!(quarantine.judge(1, Millis(CRASH_MEMORY_MS)), Standing::Clean);
 }
 
+#[test]
+fn refusal_ends_with_the_time_for_which_a_death_counts() {
+    const MEMORY_MS: u64 = 120_000;
+    let mut quarantine = Quarantine::from_memory(MEMORY_MS);
+    assert!(quarantine.blame(7, 1, Millis(0)));
+    assert!(!quarantine.blame(7, 1, Millis(0)), "one death counts once");
+    assert!(!quarantine.is_refused(7, Millis(0)));
+    for death in 2..=CRASH_LIMIT as u64 {
+        quarantine.blame(7, death, Millis(0));
+    }
+    assert!(quarantine.is_refused(7, Millis(MEMORY_MS - 1)));
+    assert!(!quarantine.is_refused(8, Millis(0)));
+    assert!(!quarantine.is_refused(7, Millis(MEMORY_MS)));
+    quarantine.acquit(7);
+    assert!(!quarantine.is_refused(7, Millis(0)));
+}
+
+#[test]
+fn death_that_is_told_again_does_not_count_for_longer() {
+    let mut quarantine = Quarantine::from_memory(1_000);
+    quarantine.blame(7, 1, Millis(0));
+    quarantine.blame(7, 2, Millis(0));
+    quarantine.blame(7, 2, Millis(900));
+    assert!(!quarantine.is_refused(7, Millis(1_000)));
+}
+
 #[test]
 fn innocent_request_is_acquitted_by_a_whole_answer() {
     let mut quarantine = Quarantine::default();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,12 +5,11 @@
     rc::Rc,
 };
 
-use mimosaledge_core::{Millis, Name};
+use mimosaledge_core::{Millis, Name, quarantine::Quarantine};
 use mimosaledge_policy::{
     Endpoint, FleetConfig,
     cached::CachedPrefixes,
     config::RouteTable,
-    crashers::Crashers,
     endpoints::{Change, Endpoints},
     retry_budget::RetryBudget,
 };
@@ -33,6 +32,10 @@
 /// out of date, in milliseconds.
 const STALE_MS: u64 = 2_500;
 
+/// How long the death of an endpoint counts against the requests that were open
+/// there, in milliseconds.
+const DEATH_MEMORY_MS: u64 = 120_000;
+
 /// One gateway.
 pub(crate) struct Gateway {
     pub(crate) settings: Settings,
@@ -48,7 +51,7 @@
     pub(crate) endpoints: RefCell<Endpoints>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) budget: RefCell<RetryBudget>,
-    pub(crate) crashers: RefCell<Crashers>,
+    pub(crate) quarantine: RefCell<Quarantine<u64>>,
     pub(crate) cached: RefCell<CachedPrefixes>,
     pub(crate) loads: Rc<RefCell<Loads>>,
     pub(crate) peers: RefCell<Peers>,
@@ -85,7 +88,7 @@
             endpoints: RefCell::default(),
             fleet: RefCell::default(),
             budget: RefCell::new(RetryBudget::from_limit(limit)),
-            crashers: RefCell::default(),
+            quarantine: RefCell::new(Quarantine::from_memory(DEATH_MEMORY_MS)),
             cached: RefCell::default(),
             loads: Rc::default(),
             peers: RefCell::new(peers),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,13 +9,11 @@
 //! | [`admission`] | which requests engines are spared in a surge |
 //! | [`retry_budget`] | how many requests may be sent a second time |
 //! | [`health`] | what failures say about an endpoint |
-//! | [`crashers`] | which requests crash the endpoints that run them |
 //! | [`events`] | where the events of a stream begin and end |
 
 pub mod admission;
 pub mod cached;
 pub mod config;
-pub mod crashers;
 pub mod endpoint;
 pub mod endpoints;
 pub mod events;
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -6,7 +6,6 @@
     Endpoint, EndpointState, FleetConfig, Limits, Repeat, Route, Target,
     cached::{CachedPrefixes, fetch_source},
     config::{Denial, RouteTable, Workspace},
-    crashers::{CRASH_LIMIT, Crashers, FORGET_MS},
     endpoints::{Change, Endpoints, LAPSE_MS, RETURN_GRACE_MS},
     events::EventCutter,
     health::{Health, Outcome},
@@ -248,22 +247,6 @@
     assert!(health.tally(NOW + 30_000).failing() < 0.01);
 }
 
-#[test]
-fn crashing_request_is_blocked_after_distinct_deaths() {
-    let mut crashers = Crashers::default();
-    assert!(crashers.blame(7, 1, NOW));
-    assert!(!crashers.blame(7, 1, NOW), "one death counts once");
-    assert!(!crashers.is_blocked(7, NOW));
-    for death in 2..=CRASH_LIMIT as u64 {
-        crashers.blame(7, death, NOW);
-    }
-    assert!(crashers.is_blocked(7, NOW));
-    assert!(!crashers.is_blocked(8, NOW));
-    assert!(!crashers.is_blocked(7, NOW + FORGET_MS));
-    crashers.acquit(7);
-    assert!(!crashers.is_blocked(7, NOW));
-}
-
 #[test]
 fn moved_session_fetches_its_prefix_from_where_it_was() {
     let mut cached = CachedPrefixes::default();
