--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -186,7 +186,7 @@
     let mut line = format!(
         "{:<12} {:<16} {:<10} head {} in force {} preset {} open {} routers {} endpoints {}/{}",
         status.name,
-        status.zone,
+        status.data_centre,
         status.state,
         offset(status.head),
         offset(status.in_force),
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -6,7 +6,7 @@
 const ROUTER: &str = "\
 kind: router
 name: r1
-zone: z
+data_centre: z
 region: r
 http: 127.0.0.1:1
 peer: 127.0.0.1:2
--- a/crates/core/src/endpoints/endpoint.rs
+++ b/crates/core/src/endpoints/endpoint.rs
@@ -42,7 +42,7 @@
     /// HTTP address.
     pub addr: SocketAddr,
     /// Data centre.
-    pub zone: Name,
+    pub data_centre: Name,
     /// Region of the data centre.
     pub region: Name,
 }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -106,7 +106,7 @@
     /// Address of the peer port, for datagrams and head transfers.
     pub peer: SocketAddr,
     /// Hash of the router's data centre.
-    pub zone: u32,
+    pub data_centre: u32,
     /// How far the router is in its life.
     pub phase: Phase,
     /// Offset of its accepted head plus one; zero if it has none.
@@ -285,13 +285,13 @@
     }
 
     /// Returns the routers that take new work, best first for `key`: those of
-    /// `zone` by rendezvous hashing, then the rest.
-    pub fn rank(&self, key: u64, zone: u32, now: Millis) -> Vec<Heartbeat> {
+    /// `data_centre` by rendezvous hashing, then the rest.
+    pub fn rank(&self, key: u64, data_centre: u32, now: Millis) -> Vec<Heartbeat> {
         let mut ranked: Vec<Heartbeat> =
             self.alive(now).map(|it| it.heartbeat).filter(Heartbeat::is_serving).collect();
         ranked.sort_by(|a, b| {
             let score = |it: &Heartbeat| rendezvous_score(key, u64::from(it.router.id), 1.0);
-            let local = |it: &Heartbeat| it.zone == zone;
+            let local = |it: &Heartbeat| it.data_centre == data_centre;
             local(b).cmp(&local(a)).then(score(b).total_cmp(&score(a)))
         });
         ranked
@@ -311,13 +311,13 @@
 
     /// Returns the witness for `key`: a live router, best in another data centre.
     pub fn witness(&self, key: u64, now: Millis) -> Option<Heartbeat> {
-        let zone = self.own_heartbeat().zone;
+        let data_centre = self.own_heartbeat().data_centre;
         let score = |it: &Heartbeat| rendezvous_score(key, u64::from(it.router.id), 1.0);
         self.peers(now)
             .map(|it| it.heartbeat)
             .filter(|it| it.is_serving() && it.router.incarnation != 0)
             .max_by(|a, b| {
-                let far = |it: &Heartbeat| it.zone != zone;
+                let far = |it: &Heartbeat| it.data_centre != data_centre;
                 far(a).cmp(&far(b)).then(score(a).total_cmp(&score(b)))
             })
     }
@@ -340,6 +340,6 @@
 }
 
 /// Hashes a data centre's name for heartbeats.
-pub fn zone_hash(zone: &str) -> u32 {
-    hash32(zone.as_bytes())
+pub fn hash_data_centre(data_centre: &str) -> u32 {
+    hash32(data_centre.as_bytes())
 }
--- a/crates/core/tests/cores.rs
+++ b/crates/core/tests/cores.rs
@@ -8,18 +8,18 @@
     chart::Chart,
     code::Code,
     endpoints::{EndpointId, EndpointInfo, EndpointKind, Endpoints, LoadReport},
-    members::{DEAD_AFTER_MS, Heartbeat, Members, Phase, RouterRef, zone_hash},
+    members::{DEAD_AFTER_MS, Heartbeat, Members, Phase, RouterRef, hash_data_centre},
     quarantine::{CRASH_LIMIT, CRASH_MEMORY_MS, Death, Quarantine, Standing},
 };
 
 fn heartbeat(id: u32, incarnation: u64, beat: u32) -> Heartbeat {
-    let zone = ["a", "b", "c"][id as usize % 3];
+    let data_centre = ["a", "b", "c"][id as usize % 3];
     Heartbeat {
         router: RouterRef { id, incarnation },
         beat,
         http: ([127, 0, 0, 1], 1_000 + id as u16).into(),
         peer: ([127, 0, 0, 1], 2_000 + id as u16).into(),
-        zone: zone_hash(zone),
+        data_centre: hash_data_centre(data_centre),
         phase: Phase::Serving,
         head: 0,
     }
@@ -86,10 +86,10 @@
 }
 
 #[test]
-fn witness_is_in_another_zone() {
+fn witness_is_in_another_data_centre() {
     let members = fleet(9);
     for key in 0..100 {
-        assert_ne!(members.witness(key, Millis(0)).unwrap().zone, zone_hash("a"));
+        assert_ne!(members.witness(key, Millis(0)).unwrap().data_centre, hash_data_centre("a"));
     }
 }
 
@@ -97,10 +97,10 @@
 fn draining_router_is_not_located() {
     let mut members = fleet(6);
     members.hear(Heartbeat { phase: Phase::Draining, ..heartbeat(3, 1, 1) }, Millis(0));
-    let ranked = members.rank(5, zone_hash("a"), Millis(0));
+    let ranked = members.rank(5, hash_data_centre("a"), Millis(0));
     assert!(ranked.iter().all(|it| it.router.id != 3));
     assert_eq!(ranked.len(), 5);
-    assert_eq!(ranked[0].zone, zone_hash("a"));
+    assert_eq!(ranked[0].data_centre, hash_data_centre("a"));
 }
 
 #[test]
@@ -132,7 +132,7 @@
         name: "e1".into(),
         kind: EndpointKind::Engine,
         addr: ([127, 0, 0, 1], 1).into(),
-        zone: "z".into(),
+        data_centre: "z".into(),
         region: "r".into(),
     };
     endpoints.follow_list(vec![info], &HashSet::new());
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -15,7 +15,7 @@
         beat,
         http: address,
         peer: address,
-        zone: 0,
+        data_centre: 0,
         phase: Phase::Serving,
         head: 0,
     }
--- a/crates/net/src/vms.rs
+++ b/crates/net/src/vms.rs
@@ -41,7 +41,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub peer: Option<SocketAddr>,
     /// Data centre.
-    pub zone: Name,
+    pub data_centre: Name,
     /// Region of the data centre.
     pub region: Name,
     /// Whether the platform is about to take the VM away.
--- a/crates/replay/src/caller.rs
+++ b/crates/replay/src/caller.rs
@@ -123,14 +123,14 @@
 
     /// Returns the routers to use for a chat, asking the fleet if no answer is
     /// kept.
-    pub async fn locate(&self, workspace: &str, chat: &str, zone: &str) -> Option<Located> {
+    pub async fn locate(&self, workspace: &str, chat: &str, data_centre: &str) -> Option<Located> {
         let key = format!("{workspace}/{chat}");
         if let Some((until, located)) = self.kept.borrow().get(&key)
             && Instant::now() < *until
         {
             return Some(located.clone());
         }
-        let path = format!("/locate?workspace={workspace}&chat={chat}&zone={zone}");
+        let path = format!("/locate?workspace={workspace}&chat={chat}&data_centre={data_centre}");
         let located = self.ask_entries(&path, key.len()).await?;
         let until = Instant::now() + Duration::from_millis(located.keep_ms);
         self.kept.borrow_mut().insert(key, (until, located.clone()));
--- a/crates/replay/src/driver.rs
+++ b/crates/replay/src/driver.rs
@@ -162,8 +162,9 @@
     async fn request(&self, event: &Event, mut request: CallerRequest) -> Final {
         let mut last = Final::GivenUp;
         for attempt in 0..MAX_ATTEMPTS {
-            let zone = &event.zone;
-            let Some(located) = self.caller.locate(&event.workspace, &event.chat, zone).await
+            let data_centre = &event.data_centre;
+            let Some(located) =
+                self.caller.locate(&event.workspace, &event.chat, data_centre).await
             else {
                 time::sleep(PAUSE).await;
                 continue;
--- a/crates/replay/src/measures.rs
+++ b/crates/replay/src/measures.rs
@@ -36,7 +36,7 @@
     /// Final answers by code.
     pub by_code: BTreeMap<u16, u64>,
     /// Whole answers by data centre.
-    pub by_zone: BTreeMap<String, u64>,
+    pub by_data_centre: BTreeMap<String, u64>,
     /// Whole answers by engine.
     pub by_engine: BTreeMap<String, u64>,
     /// Refused attempts per hundred requests, by workspace.
@@ -157,7 +157,7 @@
             not_connected: tally.not_connected,
             broken: tally.broken,
             by_code: tally.by_code.clone(),
-            by_zone: tally.by_zone.clone(),
+            by_data_centre: tally.by_data_centre.clone(),
             by_engine: tally.by_engine.clone(),
             refused_percent: refused.iter().map(percent).collect(),
             reuse: Reuse::from_tally(tally),
@@ -303,7 +303,7 @@
         }
         writeln!(to, "retries             {}", self.retries)?;
         write_counts(to, "by code", &self.by_code)?;
-        write_counts(to, "by data centre", &self.by_zone)?;
+        write_counts(to, "by data centre", &self.by_data_centre)?;
         write_counts(to, "by engine", &self.by_engine)?;
         let reuse = &self.reuse;
         writeln!(
--- a/crates/replay/src/tally.rs
+++ b/crates/replay/src/tally.rs
@@ -43,7 +43,7 @@
     /// Whole answers by result code, and final refusals.
     pub by_code: BTreeMap<u16, u64>,
     /// Whole answers by data centre of the caller.
-    pub by_zone: BTreeMap<String, u64>,
+    pub by_data_centre: BTreeMap<String, u64>,
     /// Whole answers by engine, as place hints name them.
     pub by_engine: BTreeMap<String, u64>,
     /// Answers that were wrong, with the reason of the first.
@@ -82,7 +82,7 @@
             requests: 0,
             whole: 0,
             by_code: BTreeMap::new(),
-            by_zone: BTreeMap::new(),
+            by_data_centre: BTreeMap::new(),
             by_engine: BTreeMap::new(),
             wrong: 0,
             first_wrong: None,
@@ -142,7 +142,7 @@
     fn finish_whole(&mut self, event: &Event, whole: &Whole, prompt: u32, ideal: u32) {
         self.whole += 1;
         *self.by_code.entry(whole.code).or_default() += 1;
-        *self.by_zone.entry(event.zone.clone()).or_default() += 1;
+        *self.by_data_centre.entry(event.data_centre.clone()).or_default() += 1;
         if let Some(engine) = whole.hint.as_deref().and_then(|it| it.split('.').next()) {
             *self.by_engine.entry(engine.to_owned()).or_default() += 1;
             self.prompt_tokens += u64::from(prompt);
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -35,7 +35,7 @@
     /// Request class.
     pub class: String,
     /// Data centre of the caller.
-    pub zone: String,
+    pub data_centre: String,
     /// Tokens that the request adds to the chat; zero for a service call.
     #[serde(default)]
     pub new_tokens: u32,
--- a/crates/replay/src/workload.rs
+++ b/crates/replay/src/workload.rs
@@ -34,7 +34,7 @@
 struct Profile {
     name: &'static str,
     model: &'static str,
-    zones: [&'static str; 3],
+    data_centres: [&'static str; 3],
     workspaces: [(&'static str, f64); 10],
     kinds: [Kind; 6],
 }
@@ -53,7 +53,7 @@
 const LAGYVIZ: Profile = Profile {
     name: "lagyviz",
     model: "resin-7b",
-    zones: ["gyor-hall", "tata-hall", "papa-hall"],
+    data_centres: ["gyor-hall", "tata-hall", "papa-hall"],
     workspaces: [
         ("balaton-lagy", 4.0),
         ("tata-viz", 4.0),
@@ -115,7 +115,7 @@
 const SENDEROS: Profile = Profile {
     name: "senderos",
     model: "trail-13b",
-    zones: ["sala-heredia", "sala-cartago", "sala-turrialba"],
+    data_centres: ["sala-heredia", "sala-cartago", "sala-turrialba"],
     workspaces: [
         ("parque-braulio", 4.0),
         ("parque-irazu", 4.0),
@@ -259,7 +259,7 @@
         chat: format!("c{chat}"),
         class: kind.class.to_owned(),
         // A chat's caller stays in one data centre.
-        zone: profile.zones[(chat as usize + workspace) % 3].to_owned(),
+        data_centre: profile.data_centres[(chat as usize + workspace) % 3].to_owned(),
         new_tokens: draw(kind.new_tokens),
         output_tokens: draw(kind.output_tokens),
         keyed: kind.keyed,
--- a/crates/replay/tests/trace.rs
+++ b/crates/replay/tests/trace.rs
@@ -13,7 +13,7 @@
 
 fn event(at_ms: u64) -> String {
     format!(
-        "{{\"at_ms\":{at_ms},\"workspace\":\"w\",\"chat\":\"c\",\"class\":\"k\",\"zone\":\"z\"}}"
+        "{{\"at_ms\":{at_ms},\"workspace\":\"w\",\"chat\":\"c\",\"class\":\"k\",\"data_centre\":\"z\"}}"
     )
 }
 
@@ -30,7 +30,7 @@
 malformed! {
     empty_trace: "" => "header missing at line 1";
     unknown_version: HEADER.replace("1,", "2,") => "unknown version 2 at line 1";
-    unknown_field: format!("{HEADER}\n{}", event(1).replace("zone", "place")) => "at line 2";
+    unknown_field: format!("{HEADER}\n{}", event(1).replace("data_centre", "place")) => "at line 2";
     broken_line: format!("{HEADER}\n{}\n{{", event(1)) => "at line 3";
     event_out_of_order: format!("{HEADER}\n{}\n{}", event(2), event(1)) => "earlier than the one before it at line 3";
 }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -6,7 +6,7 @@
     endpoints::{EndpointId, EndpointInfo, EndpointKind},
     hash::hash32,
     head::Verdict,
-    members::{Heartbeat, Phase, RouterRef, zone_hash},
+    members::{Heartbeat, Phase, RouterRef, hash_data_centre},
 };
 use mimosaledge_net::{Page, Vm, VmKind, log::CONFIG_STREAM};
 use spdlog::{error, info, warn};
@@ -203,7 +203,7 @@
         beat: 0,
         http: vm.addr,
         peer: vm.peer?,
-        zone: zone_hash(&vm.zone),
+        data_centre: hash_data_centre(&vm.data_centre),
         phase: if vm.leaving { Phase::Draining } else { Phase::Starting },
         head: 0,
     })
@@ -214,7 +214,7 @@
         name: vm.name.clone(),
         kind,
         addr: vm.addr,
-        zone: vm.zone.clone(),
+        data_centre: vm.data_centre.clone(),
         region: vm.region.clone(),
     }
 }
--- a/crates/router/src/locate.rs
+++ b/crates/router/src/locate.rs
@@ -7,7 +7,7 @@
     Code,
     hash::{hash32, rendezvous_score},
     head::Active,
-    members::{Heartbeat, Phase, zone_hash},
+    members::{Heartbeat, Phase, hash_data_centre},
     once::KeyPrefix,
 };
 use mimosaledge_net::server::{ReplyBody, reply};
@@ -45,8 +45,9 @@
         return refuse(node, Code::UnknownWorkspace);
     }
     let key = chat_key(workspace, field("chat").unwrap_or(""));
-    let zone = field("zone").map_or_else(|| zone_hash(&node.settings.zone), zone_hash);
-    let mut ranked = node.cores.borrow().members.rank(key, zone, node.now());
+    let data_centre = field("data_centre")
+        .map_or_else(|| hash_data_centre(&node.settings.data_centre), hash_data_centre);
+    let mut ranked = node.cores.borrow().members.rank(key, data_centre, node.now());
     if let Some(model) = field("model").or_else(|| only_model(&active)) {
         prefer_home(node, &mut ranked, key, model);
     }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -15,7 +15,7 @@
     gate::{AskId, Gate, Verdict},
     hash::hash32,
     head::{Active, Fold, InForce},
-    members::{Heartbeat, Members, Phase, RouterRef, zone_hash},
+    members::{Heartbeat, Members, Phase, RouterRef, hash_data_centre},
     once::{Home, KeyId, NoteReply, SealReply, Witness},
     place::Policy,
     quarantine::Quarantine,
@@ -211,7 +211,7 @@
             beat: 0,
             http: settings.http,
             peer: settings.peer,
-            zone: zone_hash(&settings.zone),
+            data_centre: hash_data_centre(&settings.data_centre),
             phase: Phase::Starting,
             head: 0,
         };
--- a/crates/router/src/ops.rs
+++ b/crates/router/src/ops.rs
@@ -16,7 +16,7 @@
     /// Name of the router.
     pub name: Name,
     /// Data centre.
-    pub zone: Name,
+    pub data_centre: Name,
     /// Place in the router's life, as in its state chart.
     pub state: String,
     /// Offset of the accepted head.
@@ -114,7 +114,7 @@
     });
     Status {
         name: node.settings.name.clone(),
-        zone: node.settings.zone.clone(),
+        data_centre: node.settings.data_centre.clone(),
         state: cores.life.state().to_owned(),
         head: cores.fold.head_offset(),
         in_force: current.map(|it| it.offset),
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -140,7 +140,7 @@
         .endpoints
         .live_services()
         .map(|(id, it)| {
-            let is_near = it.info.zone == node.settings.zone;
+            let is_near = it.info.data_centre == node.settings.data_centre;
             (is_near, rendezvous_score(key, u64::from(id.0), 1.0), id)
         })
         .collect();
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -24,7 +24,7 @@
     /// Unique name.
     pub name: Name,
     /// Data centre.
-    pub zone: Name,
+    pub data_centre: Name,
     /// Region of the data centre.
     pub region: Name,
     /// Address of the callers' port.
--- a/crates/router/tests/input.rs
+++ b/crates/router/tests/input.rs
@@ -140,7 +140,7 @@
         let fleet = Fleet::start(Plan::default()).await;
         let mut firsts = std::collections::HashSet::new();
         for n in 0..20 {
-            let query = format!("chat=c{n}&zone=zone-b");
+            let query = format!("chat=c{n}&data_centre=centre-b");
             let answers = [0, 1, 2].map(|at| locate(&fleet, at, &query));
             let answers = support::join_all(answers.into_iter()).await;
             assert!(answers.iter().all(|it| it.len() == 3 && it[0] == answers[0][0]));
@@ -151,11 +151,11 @@
 }
 
 #[test]
-fn locate_prefers_the_callers_zone_where_no_engine_decides() {
+fn locate_prefers_the_callers_data_centre_where_no_engine_decides() {
     run(async {
         let fleet = Fleet::start(Plan::default()).await;
         for n in 0..20 {
-            let query = format!("chat=c{n}&zone=zone-b&model=other");
+            let query = format!("chat=c{n}&data_centre=centre-b&model=other");
             let first = locate(&fleet, n % 3, &query).await.remove(0);
             assert_eq!(first, fleet.routers[1].member.addr.to_string());
         }
--- a/crates/router/tests/leaving.rs
+++ b/crates/router/tests/leaving.rs
@@ -155,7 +155,7 @@
         let gone = fleet.routers[0].member.addr.to_string();
         for at in 0..3 {
             for n in 0..10 {
-                let path = format!("/locate?workspace=w1&chat=c{n}&zone=zone-a");
+                let path = format!("/locate?workspace=w1&chat=c{n}&data_centre=centre-a");
                 let located: serde_json::Value = get(fleet.routers[at].member.addr, &path).await;
                 let routers = located["routers"].as_array().unwrap();
                 if at == 0 {
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -144,9 +144,17 @@
 }
 
 fn vm(name: &str, kind: VmKind, addr: SocketAddr, peer: Option<SocketAddr>, at: usize) -> Vm {
-    let zone = ["zone-a", "zone-b", "zone-c"][at % 3];
+    let data_centre = ["centre-a", "centre-b", "centre-c"][at % 3];
     let region = "region".into();
-    Vm { name: name.into(), kind, addr, peer, zone: zone.into(), region, leaving: false }
+    Vm {
+        name: name.into(),
+        kind,
+        addr,
+        peer,
+        data_centre: data_centre.into(),
+        region,
+        leaving: false,
+    }
 }
 
 impl Fleet {
@@ -216,10 +224,10 @@
     }
 
     fn router_settings(&self, at: usize, limits: &str) -> Settings {
-        let zone = ["zone-a", "zone-b", "zone-c"][at % 3];
+        let data_centre = ["centre-a", "centre-b", "centre-c"][at % 3];
         let seeds: Vec<String> = self.routers.iter().map(|it| format!("\"{}\"", it.peer)).collect();
         let text = format!(
-            "kind: router\nname: router-{at}\nzone: {zone}\nregion: region\n\
+            "kind: router\nname: router-{at}\ndata_centre: {data_centre}\nregion: region\n\
              http: 127.0.0.1:0\npeer: 127.0.0.1:0\nops: 127.0.0.1:0\n\
              platform: {}\nseeds: [{}]\nlog_level: off\n\
              limits: {{ gossip_ms: 50, probe_ms: 50, follow_ms: 50, list_ms: 50, keep_ms: 200{limits} }}\n",
--- a/crates/steward/tests/orders.rs
+++ b/crates/steward/tests/orders.rs
@@ -116,8 +116,16 @@
 }
 
 fn vm(name: &str, addr: SocketAddr) -> Vm {
-    let (zone, region) = ("z".into(), "r".into());
-    Vm { name: name.into(), kind: VmKind::Engine, addr, peer: None, zone, region, leaving: false }
+    let (data_centre, region) = ("z".into(), "r".into());
+    Vm {
+        name: name.into(),
+        kind: VmKind::Engine,
+        addr,
+        peer: None,
+        data_centre,
+        region,
+        leaving: false,
+    }
 }
 
 async fn bind() -> (TcpListener, SocketAddr) {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -19,8 +19,8 @@
 . "deploy/$deployment/fleet.conf"
 base_port=${BASE_PORT:-$base_port}
 step_ms=${STEP_MS:-$step_ms}
-read -r -a zone_list <<<"$zones"
-read -r -a short_list <<<"$short_zones"
+read -r -a centre_list <<<"$data_centres"
+read -r -a short_list <<<"$short_names"
 
 # Starts member NAME with the command line in its file.
 launch() {
@@ -42,7 +42,7 @@
 describe() { # NAME KIND PORT ZONE [PEER_PORT]
   local peer=""
   [ -z "${5:-}" ] || peer="\"peer\":\"127.0.0.1:$5\","
-  printf '{"name":"%s","kind":"%s","addr":"127.0.0.1:%s",%s"zone":"%s","region":"%s"}' \
+  printf '{"name":"%s","kind":"%s","addr":"127.0.0.1:%s",%s"data_centre":"%s","region":"%s"}' \
     "$1" "$2" "$3" "$peer" "$4" "$region"
 }
 
@@ -52,32 +52,32 @@
 }
 
 plan() {
-  local routers=$1 engines=$2 n zone short port name entries=()
+  local routers=$1 engines=$2 n centre short port name entries=()
   mkdir -p "$run"
   rm -f "$run"/*
   local platform=$base_port
   echo "$bin/mimosaledge-standin platform --addr 127.0.0.1:$platform --vms $run/vms.json" \
     >"$run/platform.cmd"
   for ((n = 0; n < engines; n++)); do
-    zone=${zone_list[n % 3]} short=${short_list[n % 3]}
+    centre=${centre_list[n % 3]} short=${short_list[n % 3]}
     name=$short-lm-$((n / 3 + 1)) port=$((base_port + 10 + n))
     echo "$bin/mimosaledge-standin engine --addr 127.0.0.1:$port --name $name --model $model" \
       "--weights 127.0.0.1:$platform $(fenced "$name")" \
       "--step-ms $step_ms --slots ${SLOTS:-16} --cache-tokens ${CACHE_TOKENS:-200000}" >"$run/$name.cmd"
-    entries+=("$(describe "$name" engine "$port" "$zone")")
+    entries+=("$(describe "$name" engine "$port" "$centre")")
   done
   for ((n = 0; n < 3; n++)); do
     name=${short_list[n]}-$service port=$((base_port + 1 + n))
     echo "$bin/mimosaledge-standin service --addr 127.0.0.1:$port" >"$run/$name.cmd"
-    entries+=("$(describe "$name" service "$port" "${zone_list[n]}")")
+    entries+=("$(describe "$name" service "$port" "${centre_list[n]}")")
   done
   local http=() ops=()
   for ((n = 0; n < routers; n++)); do
-    zone=${zone_list[n % 3]} name=router-$((n + 1)) port=$((base_port + 500 + n * 3))
+    centre=${centre_list[n % 3]} name=router-$((n + 1)) port=$((base_port + 500 + n * 3))
     cat >"$run/$name.yaml" <<YAML
 kind: router
 name: $name
-zone: $zone
+data_centre: $centre
 region: $region
 http: 127.0.0.1:$port
 peer: 127.0.0.1:$((port + 1))
@@ -91,7 +91,7 @@
   snapshot_every: ${SNAPSHOT_EVERY:-500}
 YAML
     echo "$bin/mimosaledge-router --settings $run/$name.yaml" >"$run/$name.cmd"
-    entries+=("$(describe "$name" router "$port" "$zone" $((port + 1)))")
+    entries+=("$(describe "$name" router "$port" "$centre" $((port + 1)))")
     http+=("127.0.0.1:$port") ops+=("127.0.0.1:$((port + 2))")
   done
   for n in 1 2; do
