Let a large fleet's readers and copies not depend on who was heard yet

After a start it takes some 15 s until all were heard; until then many took themselves for readers of the list, each told its news only to those it had heard, and the rest copied the whole list, all from the one gateway that was furthest.

A gateway that was never heard now counts as a possible reader in a large fleet, news go to all that are not known to be dead, and each gateway prefers another one to copy from.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -58,7 +58,7 @@
     gateway.peers.borrow().pause_ms()
 }
 
-/// Tells all live gateways of changes of the list of endpoints that have just
+/// Tells the other gateways of changes of the list of endpoints that have just
 /// been read. That it was read without changes goes round with heartbeats.
 pub(crate) async fn send_news(gateway: &Gateway) {
     let Some(socket) = gateway.beats.get() else { return };
@@ -67,7 +67,7 @@
         return;
     }
     let Some(bytes) = encode(&Message::News(gateway.stamp(), news)) else { return };
-    let recipients = gateway.peers.borrow().alive(gateway.now());
+    let recipients = gateway.peers.borrow().to_tell(gateway.now());
     send(gateway, socket, &bytes, &recipients).await;
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -68,9 +68,9 @@
         self.membership.alive(now).count()
     }
 
-    /// Returns the gateways that are alive.
-    pub(crate) fn alive(&self, now: Millis) -> Vec<Ipv4Addr> {
-        self.membership.alive(now).collect()
+    /// Returns the gateways to which what cannot wait is sent.
+    pub(crate) fn to_tell(&self, now: Millis) -> Vec<Ipv4Addr> {
+        self.membership.possible(now).collect()
     }
 
     /// Returns whether the fleet is too large to tell all in each round.
@@ -95,11 +95,16 @@
 
     /// Returns a live gateway that knows a later configuration than `own`, or
     /// another list of endpoints that is later, if `lists` are asked for.
+    ///
+    /// Each gateway prefers another one, so that not all copy from the same.
     pub(crate) fn ahead(&self, own: Stamp, lists: bool, now: Millis) -> Option<Ipv4Addr> {
         let has_list = |it: Stamp| lists && it.digest != own.digest && it.offset > own.offset;
         self.heard(now)
             .filter(|(_, it)| it.stamp.version > own.version || has_list(it.stamp))
-            .max_by_key(|(_, it)| (it.stamp.version, it.stamp.offset))
+            .max_by_key(|(address, it)| {
+                let version = it.stamp.version.max(own.version);
+                (version, rank(*address) ^ rank(self.own))
+            })
             .map(|(address, _)| address)
     }
 
@@ -107,8 +112,13 @@
     /// list of endpoints for all.
     pub(crate) fn is_reader(&self, now: Millis) -> bool {
         let own = rank(self.own);
-        let able = self.heard(now).filter(|(_, it)| it.stamp.offset > 0);
-        able.filter(|(address, _)| rank(*address) > own).count() < READERS
+        let able = |address: &Ipv4Addr| match self.peers.get(address) {
+            Some(peer) => peer.stamp.offset > 0,
+            // In a large fleet it takes long to hear all.
+            None => self.is_large(),
+        };
+        let before = self.membership.possible(now).filter(|it| rank(*it) > own);
+        before.filter(able).count() < READERS
     }
 
     /// Tells the others of a request that was open when an endpoint died.
@@ -171,7 +181,7 @@
         let is_urgent = std::mem::take(&mut self.is_urgent) || ready != self.was_ready;
         self.was_ready = ready;
         if is_urgent && self.is_large() {
-            return self.alive(now);
+            return self.to_tell(now);
         }
         self.membership.recipients(round, bytes, now)
     }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -179,6 +179,13 @@
         self.members.values().filter(move |it| self.lives(it, now)).map(|it| it.address)
     }
 
+    /// Iterates over the gateways that may be alive: those that are, and those
+    /// that were never heard.
+    pub fn possible(&self, now: Millis) -> impl Iterator<Item = Ipv4Addr> {
+        let may_live = move |it: &&Member| self.lives(it, now) || it.heard.is_none();
+        self.members.values().filter(may_live).map(|it| it.address)
+    }
+
     /// Returns whether not all gateways are told in each round.
     pub fn is_large(&self) -> bool {
         self.members.len() > SMALL_FLEET
