Read a long list of endpoints page by page, each in its own time

Cause of the 30 s to serve again after the loss of 300 gateways before 3,000 endpoints: one time limit of 1.5 s held for the whole list, six pages of 500 entries, about 1.5 MB of JSON over a 10 Mbit/s link; a gateway that missed it began anew. Each call now has its own limit, and what was read before a call failed is kept. Also, a gateway gives two copies at a time, and askers turn to another each second: a copy that shares a link with many was never done.

Ruled out: the store's rates (6,000 reads a second, 300 gateways make 2,100 calls).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use mimosaledge_core::hash::hash64;
+use mimosaledge_net::Pending;
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -42,33 +43,28 @@
 struct Cursor {
     topic: Topic,
     next: Option<u64>,
+    /// What has been read of a list that takes several calls.
+    partial: Option<Page>,
     pause: Duration,
     lost: bool,
 }
 
 impl Cursor {
     fn new(topic: Topic) -> Cursor {
-        Cursor { topic, next: None, pause: FIRST_RETRY, lost: false }
+        Cursor { topic, next: None, partial: None, pause: FIRST_RETRY, lost: false }
     }
 
     /// Reads on, or anew from the newest records if there is no place to read
     /// on from.
     async fn read(&mut self, gateway: &Gateway, wait: Duration) -> Result<(Page, bool)> {
         let whole = self.next.is_none();
-        let wait = if whole { Duration::ZERO } else { wait };
-        let call = async {
-            match self.next {
-                Some(from) => gateway.store.read(self.topic, from, wait).await,
-                None => gateway.store.newest(self.topic).await,
+        let page = match self.next {
+            Some(from) => {
+                let call = gateway.store.read(self.topic, from, wait);
+                self.call(gateway, wait, call).await?
             }
+            None => self.read_newest(gateway).await?,
         };
-        let page = match timeout(wait + CALL_TIMEOUT, call).await {
-            Ok(answered) => answered,
-            Err(_) => Err(Error::unreachable("timeout")),
-        };
-        let outcome = if page.is_ok() { "ok" } else { "failed" };
-        gateway.metrics.store_calls.with_label_values(&[topic_label(self.topic), outcome]).inc();
-        let page = page?;
         self.next = Some(page.next);
         self.pause = FIRST_RETRY;
         if self.lost {
@@ -78,6 +74,39 @@
         Ok((page, whole))
     }
 
+    /// Reads the newest records, in as many calls as it takes. What was read
+    /// before a call failed is kept for the next try.
+    async fn read_newest(&mut self, gateway: &Gateway) -> Result<Page> {
+        loop {
+            let after = self.partial.as_ref().and_then(|it| it.more.clone());
+            let call = gateway.store.newest(self.topic, after);
+            let page = self.call(gateway, Duration::ZERO, call).await?;
+            let whole = match self.partial.take() {
+                Some(before) => before.followed_by(page),
+                None => page,
+            };
+            if whole.more.is_none() {
+                return Ok(whole);
+            }
+            self.partial = Some(whole);
+        }
+    }
+
+    async fn call(
+        &self,
+        gateway: &Gateway,
+        wait: Duration,
+        call: Pending<'_, Result<Page>>,
+    ) -> Result<Page> {
+        let page = match timeout(wait + CALL_TIMEOUT, call).await {
+            Ok(answered) => answered,
+            Err(_) => Err(Error::unreachable("timeout")),
+        };
+        let outcome = if page.is_ok() { "ok" } else { "failed" };
+        gateway.metrics.store_calls.with_label_values(&[topic_label(self.topic), outcome]).inc();
+        page
+    }
+
     /// Skips records that another gateway has read.
     fn skip_to(&mut self, offset: u64) {
         self.next = self.next.map(|next| next.max(offset));
@@ -87,6 +116,7 @@
         if err.is_expired() {
             spdlog::info!("store: topic={:?} next={:?} expired=true", self.topic, self.next);
             self.next = None;
+            self.partial = None;
             sleep(EXPIRED_PAUSE).await;
             return;
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::Ipv4Addr};
 
-use mimosaledge_core::Millis;
+use mimosaledge_core::{Millis, hash::hash64};
 use mimosaledge_policy::membership::{Losses, Membership, rank};
 
 use crate::{
@@ -15,6 +15,8 @@
 const READERS: usize = 2;
 /// Time for which a death is told, in milliseconds.
 const TELL_DEATH_MS: u64 = 3_000;
+/// Time for which the same gateway is preferred for a copy, in milliseconds.
+const PREFER_MS: u64 = 1_000;
 /// Most deaths in one heartbeat.
 const MAX_DEATHS: usize = 24;
 
@@ -96,14 +98,16 @@
     /// Returns a live gateway that knows a later configuration than `own`, or
     /// another list of endpoints that is later, if `lists` are asked for.
     ///
-    /// Each gateway prefers another one, so that not all copy from the same.
+    /// Each gateway prefers another one, and another a second later, so that
+    /// not all copy from the same.
     pub(crate) fn ahead(&self, own: Stamp, lists: bool, now: Millis) -> Option<Ipv4Addr> {
         let has_list = |it: Stamp| lists && it.digest != own.digest && it.offset > own.offset;
+        let salt = rank(self.own) ^ hash64(&(now.0 / PREFER_MS).to_le_bytes());
         self.heard(now)
             .filter(|(_, it)| it.stamp.version > own.version || has_list(it.stamp))
             .max_by_key(|(address, it)| {
                 let version = it.stamp.version.max(own.version);
-                (version, rank(*address) ^ rank(self.own))
+                (version, rank(*address) ^ salt)
             })
             .map(|(address, _)| address)
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -53,16 +53,29 @@
     pub records: Vec<Record>,
     /// Where to read on.
     pub next: u64,
+    /// The key after which a list of the newest records goes on, if it does.
+    pub more: Option<Name>,
+}
+
+impl Page {
+    /// Appends the page that follows in a list of the newest records.
+    ///
+    /// Pages are no snapshot: what changes between them is read again.
+    pub(crate) fn followed_by(mut self, page: Page) -> Page {
+        self.records.extend(page.records);
+        Page { records: self.records, next: self.next.min(page.next), more: page.more }
+    }
 }
 
 /// The platform's store, as the gateway sees it.
 pub trait Store {
-    /// Reads the newest record of each key of a topic.
+    /// Reads the newest record of each key of a topic, or of each key behind
+    /// `after`; a long list takes several calls.
     ///
     /// # Errors
     ///
     /// Returns why the store did not answer as asked.
-    fn newest(&self, topic: Topic) -> Pending<'_, Result<Page>>;
+    fn newest(&self, topic: Topic, after: Option<Name>) -> Pending<'_, Result<Page>>;
 
     /// Reads records from an offset on; waits up to `wait` for the first one.
     ///
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -21,6 +21,8 @@
 const COPY_DELAY: Duration = Duration::from_millis(120);
 /// Spread of that wait over gateways, in milliseconds.
 const COPY_SPREAD_MS: u64 = 300;
+/// Copies given at a time, so that each is done in time.
+const MAX_COPIES: usize = 2;
 /// Pause after a failure to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(400);
 /// Largest message, in bytes.
@@ -78,12 +80,18 @@
 }
 
 /// Answers other gateways' requests for a copy.
+///
+/// One that asks while others are served finds the connection closed, and asks
+/// another gateway.
 pub(crate) async fn serve_copies(gateway: Rc<Gateway>, listener: TcpListener) {
+    let under_way = Rc::new(());
     loop {
         match listener.accept().await {
+            Ok(_) if Rc::strong_count(&under_way) > MAX_COPIES => {}
             Ok((stream, from)) => {
-                let gateway = gateway.clone();
+                let (gateway, copy) = (gateway.clone(), under_way.clone());
                 spawn_local(async move {
+                    let _copy = copy;
                     match timeout(COPY_TIMEOUT, give_copy(&gateway, stream)).await {
                         Ok(Ok(())) => {}
                         Ok(Err(err)) => spdlog::info!("sync: asker={from} failed, cause={err}"),
--- a/crates/policy/tests/large_fleet.rs
+++ b/crates/policy/tests/large_fleet.rs
@@ -114,7 +114,8 @@
 
     fn running(&self, gateway: usize, session: u64) -> f64 {
         let own = self.gateways[gateway].sessions.get(&session).copied().unwrap_or(0);
-        let others = if session == 0 { self.gateways.iter().map(|it| it.told_hot).sum() } else { 0 };
+        let others =
+            if session == 0 { self.gateways.iter().map(|it| it.told_hot).sum() } else { 0 };
         f64::from(own + others + 1)
     }
 
