Give gateways that missed changes of the list only these

A gateway now keeps the last 2,000 changes with the digest of the list before each, and an asker that has one of those lists gets what followed on it.

Also, comparing a list with the store's took n x n comparisons of names.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
     cached::CachedPrefixes,
     config::RouteTable,
     endpoints::{Change, Endpoints},
+    history::History,
     retry_budget::RetryBudget,
 };
 use tokio::{net::UdpSocket, sync::Notify};
@@ -60,6 +61,7 @@
     digest: Cell<u64>,
     pub(crate) reread: Notify,
     pub(crate) news: RefCell<News>,
+    pub(crate) history: RefCell<History>,
     pub(crate) beats: OnceCell<Rc<UdpSocket>>,
 }
 
@@ -97,6 +99,7 @@
             digest: Cell::new(0),
             reread: Notify::new(),
             news: RefCell::default(),
+            history: RefCell::default(),
             beats: OnceCell::new(),
         }
     }
@@ -183,6 +186,7 @@
         endpoints.settle(offset);
         if !applied.is_empty() {
             let before = self.digest.get();
+            self.history.borrow_mut().note(before, &applied);
             self.list_changed(&endpoints);
             self.news.borrow_mut().add(before, self.digest.get(), applied);
         }
@@ -191,14 +195,19 @@
     /// Takes over changes that another gateway has read, if they follow on the
     /// list that this one has.
     pub(crate) fn adopt_news(&self, news: News, stamp: &Stamp) {
-        if news.before != self.digest.get() || news.changes.is_empty() {
-            return;
+        if news.before == self.digest.get() && !news.changes.is_empty() {
+            self.adopt_changes(news.changes, stamp.offset, "peer");
         }
+    }
+
+    /// Takes over changes that follow on the list that this gateway has.
+    pub(crate) fn adopt_changes(&self, changes: Vec<Change>, offset: u64, source: &str) {
         let mut endpoints = self.endpoints.borrow_mut();
-        for change in &news.changes {
-            spdlog::info!("endpoints: {} offset={} source=peer", describe(change), stamp.offset);
+        for change in &changes {
+            spdlog::info!("endpoints: {} offset={offset} source={source}", describe(change));
         }
-        endpoints.adopt_changes(news.changes);
+        self.history.borrow_mut().note(self.digest.get(), &changes);
+        endpoints.adopt_changes(changes);
         self.list_changed(&endpoints);
     }
 
@@ -249,6 +258,7 @@
         spdlog::info!("endpoints: listed={} offset={offset} source=store", entries.len());
         let mut endpoints = self.endpoints.borrow_mut();
         endpoints.replace(entries, self.now());
+        self.history.borrow_mut().clear();
         endpoints.settle(offset);
         self.list_changed(&endpoints);
     }
@@ -258,6 +268,7 @@
         spdlog::info!("endpoints: listed={} offset={offset} source={source}", entries.len());
         let mut endpoints = self.endpoints.borrow_mut();
         endpoints.adopt(entries, offset);
+        self.history.borrow_mut().clear();
         self.list_changed(&endpoints);
     }
 
@@ -271,6 +282,7 @@
         let mut endpoints = self.endpoints.borrow_mut();
         if endpoints.apply(Change::Gone(id.clone()), self.now()) {
             spdlog::info!("endpoints: id={id} gone=true cause=misdirected");
+            self.history.borrow_mut().note(self.digest.get(), &[Change::Gone(id.clone())]);
             self.list_changed(&endpoints);
         }
     }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -4,7 +4,7 @@
 use std::{cell::Cell, io, net::Ipv4Addr, rc::Rc, time::Duration};
 
 use mimosaledge_core::hash::hash64;
-use mimosaledge_policy::{Endpoint, FleetConfig};
+use mimosaledge_policy::{Endpoint, FleetConfig, endpoints::Change};
 use serde::{Deserialize, Serialize};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -35,13 +35,26 @@
     version: u64,
     /// How far it has read the list of endpoints.
     offset: u64,
+    /// Digest of that list.
+    digest: u64,
+}
+
+/// The list of endpoints, as an asker needs it.
+#[derive(Debug, Serialize, Deserialize)]
+enum List {
+    /// The asker's list is as late.
+    Same,
+    /// What changed since the asker's list.
+    Changes(Vec<Change>),
+    /// All endpoints.
+    Whole(Vec<Endpoint>),
 }
 
 /// What the asker lacks.
 #[derive(Debug, Serialize, Deserialize)]
 struct State {
     config: Option<FleetConfig>,
-    endpoints: Option<Vec<Endpoint>>,
+    list: List,
     offset: u64,
     /// Time since the list of endpoints was read, in milliseconds.
     age_ms: u64,
@@ -71,9 +84,10 @@
 }
 
 async fn copy_from(gateway: &Gateway, address: Ipv4Addr) {
-    let want = Want { version: gateway.version(), offset: gateway.endpoints.borrow().offset() };
+    let stamp = gateway.stamp();
+    let want = Want { version: stamp.version, offset: stamp.offset, digest: stamp.digest };
     match timeout(COPY_TIMEOUT, copy(gateway, address, want)).await {
-        Ok(Ok(state)) => apply(gateway, state, address),
+        Ok(Ok(state)) => apply(gateway, state, stamp.digest, address),
         Ok(Err(err)) => spdlog::info!("sync: address={address} failed, cause={err}"),
         Err(_) => spdlog::info!("sync: address={address} failed, cause=timeout"),
     }
@@ -114,18 +128,26 @@
     read_message(&mut stream).await
 }
 
-fn apply(gateway: &Gateway, state: State, address: Ipv4Addr) {
+fn apply(gateway: &Gateway, state: State, before: u64, address: Ipv4Addr) {
     let source = address.to_string();
     if let Some(config) = state.config {
         gateway.apply_config(config, &source);
     }
-    if let Some(endpoints) = state.endpoints
-        && state.offset > gateway.endpoints.borrow().offset()
-        && !gateway.reads_endpoints()
-    {
-        gateway.adopt_endpoints(endpoints, state.offset, &source);
-        gateway.hear_list(state.age_ms);
+    let is_later = state.offset > gateway.endpoints.borrow().offset();
+    if !is_later || gateway.reads_endpoints() {
+        return;
+    }
+    match state.list {
+        List::Same => return,
+        // Another word may have come first.
+        List::Changes(_) if gateway.stamp().digest != before => return,
+        List::Changes(changes) => {
+            gateway.adopt_changes(changes, state.offset, &source);
+            gateway.endpoints.borrow_mut().settle(state.offset);
+        }
+        List::Whole(endpoints) => gateway.adopt_endpoints(endpoints, state.offset, &source),
     }
+    gateway.hear_list(state.age_ms);
 }
 
 async fn give_copy(gateway: &Gateway, mut stream: TcpStream) -> io::Result<()> {
@@ -138,14 +160,24 @@
             .as_ref()
             .filter(|it| it.version > want.version)
             .map(|it| FleetConfig::clone(it)),
-        endpoints: (offset > want.offset)
-            .then(|| gateway.endpoints.borrow().iter().cloned().collect()),
+        list: list_since(gateway, &want),
         offset,
         age_ms: gateway.list_age_ms(),
     };
     write_message(&mut stream, &state).await
 }
 
+fn list_since(gateway: &Gateway, want: &Want) -> List {
+    let endpoints = gateway.endpoints.borrow();
+    if endpoints.offset() <= want.offset {
+        return List::Same;
+    }
+    match gateway.history.borrow().since(want.digest) {
+        Some(changes) => List::Changes(changes),
+        None => List::Whole(endpoints.iter().cloned().collect()),
+    }
+}
+
 async fn write_message(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
     let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -5,7 +5,7 @@
 //! An entry that goes while the list is away, or shortly after its return, is
 //! therefore held for [`RETURN_GRACE_MS`] before it counts as gone.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use mimosaledge_core::{Millis, Name, hash::hash64};
 use serde::{Deserialize, Serialize};
@@ -65,12 +65,9 @@
 
     /// Replaces the whole list by `entries`.
     pub fn replace(&mut self, entries: Vec<Endpoint>, now: Millis) {
-        let missing: Vec<Name> = self
-            .listed
-            .keys()
-            .filter(|id| entries.iter().all(|it| it.id != **id))
-            .cloned()
-            .collect();
+        let present: HashSet<&Name> = entries.iter().map(|it| &it.id).collect();
+        let missing: Vec<Name> =
+            self.listed.keys().filter(|id| !present.contains(id)).cloned().collect();
         for id in missing {
             self.drop_entry(&id, now);
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,8 @@
 //! |---|---|
 //! | [`config`] | the configuration in force and how a request finds its route |
 //! | [`endpoints`] | which endpoints may be used, also while their list is away |
+//! | [`history`] | what a gateway that missed changes of the list is told |
+//! | [`membership`] | which gateways are alive, and which are told when |
 //! | [`placement`] | which endpoint serves a request within the load bound |
 //! | [`cached`] | from which engine a prompt prefix is fetched |
 //! | [`admission`] | which requests engines are spared in a surge |
@@ -18,6 +20,7 @@
 pub mod endpoints;
 pub mod events;
 pub mod health;
+pub mod history;
 pub mod limits;
 pub mod membership;
 pub mod placement;
--- a/crates/policy/tests/large_fleet.rs
+++ b/crates/policy/tests/large_fleet.rs
@@ -77,10 +77,10 @@
             *self.gateways[gateway].sessions.get_mut(&session).unwrap() -= 1;
         }
         for from in 0..GATEWAYS {
-            if (now + from as u64 * 3) % ROUND_MS == 0 {
+            if (now + from as u64 * 3).is_multiple_of(ROUND_MS) {
                 self.tell(from);
             }
-            if (now + from as u64 * 33) % TURN_MS == 0 {
+            if (now + from as u64 * 33).is_multiple_of(TURN_MS) {
                 let hot = self.gateways[from].sessions.get(&0).copied().unwrap_or(0);
                 self.gateways[from].told_hot = if hot > 1 { hot } else { 0 };
             }
