Ask a witness in one place; give the tests' calls a file of their own

Noting and sealing a key repeated the same question to the witness in two functions. No change of behaviour; tests of router and cli pass.

--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -7,7 +7,7 @@
     Code,
     endpoints::EndpointId,
     members::RouterRef,
-    once::{Answer, Key, NoteReply, SealReply, Step},
+    once::{Answer, Key, KeyId, NoteReply, SealReply, Step},
 };
 use mimosaledge_net::server::{ReplyBody, reply};
 use mimosaledge_wire::Message;
@@ -19,6 +19,7 @@
     forward, locate,
     node::Node,
     peer,
+    pending::Awaited,
     request::Ask,
     service::{self, ServiceAnswer, ServiceError},
 };
@@ -82,10 +83,20 @@
 
 /// Asks a witness to note a key; `None` if it stays silent.
 async fn ask_to_note(node: &Node, key: &Key, witness: RouterRef) -> Option<NoteReply> {
+    let question = Message::Note { key: key.id, prefix: key.prefix };
+    ask_witness(node, witness, node.notes.register(key.id), &question).await
+}
+
+/// Repeats a question to a witness until it answers; `None` if it stays silent.
+async fn ask_witness<V>(
+    node: &Node,
+    witness: RouterRef,
+    mut answers: Awaited<KeyId, V>,
+    question: &Message,
+) -> Option<V> {
     let addr = peer_addr(node, witness)?;
-    let mut answers = node.notes.register(key.id);
     for _ in 0..TRIES {
-        peer::send(node, addr, &Message::Note { key: key.id, prefix: key.prefix });
+        peer::send(node, addr, question);
         if let Ok(reply) = time::timeout(REPEAT, answers.next()).await {
             return reply;
         }
@@ -216,15 +227,8 @@
 }
 
 async fn ask_to_seal(node: &Node, key: &Key, witness: RouterRef) -> Option<SealReply> {
-    let addr = peer_addr(node, witness)?;
-    let mut answers = node.seals.register(key.id);
-    for _ in 0..TRIES {
-        peer::send(node, addr, &Message::Seal { key: key.id, prefix: key.prefix });
-        if let Ok(reply) = time::timeout(REPEAT, answers.next()).await {
-            return reply;
-        }
-    }
-    None
+    let question = Message::Seal { key: key.id, prefix: key.prefix };
+    ask_witness(node, witness, node.seals.register(key.id), &question).await
 }
 
 /// Returns whether a finished key is still being handed over to its witness.
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -11,11 +11,8 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, header::HOST};
 use mimosaledge_core::{
     config::PresetName,
-    head::Fold,
     record::{Change, Record},
 };
 use mimosaledge_net::{
@@ -25,7 +22,6 @@
 };
 use mimosaledge_router::{Node, Settings, Sockets, StopHandle, ops::Status};
 use mimosaledge_standin::{engine, platform, service};
-use serde::de::DeserializeOwned;
 use tokio::{
     net::{TcpListener, UdpSocket},
     runtime::Builder,
@@ -33,6 +29,10 @@
     time,
 };
 
+mod calls;
+
+pub(crate) use calls::*;
+
 /// Polls of a condition before it counts as never reached.
 const POLLS: u32 = 3_000;
 /// Pause between two polls.
@@ -104,25 +104,6 @@
     }
 }
 
-/// An answer as a caller sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Answer {
-    pub(crate) status: u16,
-    pub(crate) code: u16,
-    pub(crate) headers: Vec<(String, String)>,
-    pub(crate) body: String,
-}
-
-impl Answer {
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|it| it.0 == name).map(|it| it.1.as_str())
-    }
-
-    pub(crate) fn json(&self) -> serde_json::Value {
-        serde_json::from_str(&self.body).unwrap()
-    }
-}
-
 fn loopback() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
 }
@@ -396,85 +377,3 @@
         runs.runs.get(key).copied().unwrap_or(0)
     }
 }
-
-/// Runs all futures at once and returns their results in order.
-pub(crate) async fn join_all<F: Future>(futures: impl Iterator<Item = F>) -> Vec<F::Output> {
-    let mut pending: Vec<_> = futures.map(|it| (Box::pin(it), None)).collect();
-    std::future::poll_fn(|cx| {
-        for (future, result) in &mut pending {
-            if result.is_none()
-                && let std::task::Poll::Ready(value) = future.as_mut().poll(cx)
-            {
-                *result = Some(value);
-            }
-        }
-        match pending.iter().all(|it| it.1.is_some()) {
-            true => std::task::Poll::Ready(()),
-            false => std::task::Poll::Pending,
-        }
-    })
-    .await;
-    pending.into_iter().filter_map(|it| it.1).collect()
-}
-
-/// Makes the body of a chat request.
-pub(crate) fn chat_body(chat: &str, output: u32) -> String {
-    let segment = engine::output_segment(chat);
-    format!("{{\"model\":\"{MODEL}\",\"segments\":[[{segment},20]],\"output\":{output}}}")
-}
-
-/// Returns whether `answer` is a whole stream of `output` tokens.
-pub(crate) fn is_whole(answer: &Answer, output: u32) -> bool {
-    let run_id = answer.header("x-run-id").unwrap_or_default();
-    let frames: Vec<engine::Frame> =
-        answer.body.lines().filter_map(|it| serde_json::from_str(it).ok()).collect();
-    let ordered = frames.iter().zip(0..).all(|(frame, n)| frame.n == n && frame.id == run_id);
-    let sum = frames.last().and_then(|it| it.sum.clone());
-    ordered && frames.len() as u32 == output + 1 && sum == Some(engine::checksum(run_id, output))
-}
-
-pub(crate) async fn send(
-    pool: &Pool,
-    addr: SocketAddr,
-    headers: &[(&str, &str)],
-    body: impl Into<Bytes>,
-) -> Result<Answer, PoolError> {
-    let mut connection = pool.connect(addr).await?;
-    let mut request = Request::post("/v1/run").header(HOST, addr.to_string());
-    for (name, value) in headers {
-        request = request.header(*name, *value);
-    }
-    let request = request.body(Full::new(body.into())).unwrap();
-    let response = connection.send(request, CALL_LIMIT).await?;
-    let header = |it: &hyper::header::HeaderValue| it.to_str().unwrap_or("").to_owned();
-    let headers: Vec<(String, String)> =
-        response.headers().iter().map(|it| (it.0.to_string(), header(it.1))).collect();
-    let code = headers.iter().find(|it| it.0 == "x-code").and_then(|it| it.1.parse().ok());
-    let status = response.status().as_u16();
-    let body = response.into_body().collect().await.map_err(|_| PoolError::Broken)?.to_bytes();
-    let body = String::from_utf8_lossy(&body).into_owned();
-    Ok(Answer { status, code: code.unwrap_or(0), headers, body })
-}
-
-async fn post(addr: SocketAddr, path: &str, body: Vec<u8>) {
-    Call::post(addr, path, body).send_ok().await.unwrap();
-}
-
-pub(crate) async fn get<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> T {
-    let body = Call::get(addr, path).send_ok().await.unwrap();
-    serde_json::from_slice(&body).unwrap()
-}
-
-/// Returns the HTTP status of the answer to GET `path`.
-pub(crate) async fn get_status(addr: SocketAddr, path: &str) -> u16 {
-    Call::get(addr, path).send().await.unwrap().status
-}
-
-pub(crate) async fn status(ops: SocketAddr) -> Option<Status> {
-    let body = Call::get(ops, "/status").send_ok().await.ok()?;
-    serde_json::from_slice(&body).ok()
-}
-
-pub(crate) async fn fold(ops: SocketAddr) -> Fold {
-    get(ops, "/head").await
-}
