Log why a stream ended and why no other endpoint took it over

The lines of a broken stream could not tell apart whether its endpoint was silent, the operating system gave the connection up, or a change of the configuration closed it. Now a broken connection names the error of the operating system, the end of a stream says for how long no data had arrived and which configuration was in force, and every retry that was not possible is logged with its cause, where only the budget was. `explain` names the budget only if that was the cause.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -84,7 +84,9 @@
 
 fn describe_cause(lines: &[Line]) -> String {
     let attempts = lines.iter().filter(|it| it.text.starts_with("attempt:")).count();
-    let retry_denied = lines.iter().any(|it| it.text.starts_with("retry:"));
+    let retry_denied = lines
+        .iter()
+        .any(|it| it.text.starts_with("retry:") && field(&it.text, "cause") == Some("budget"));
     let Some(last) = lines.iter().rev().find(|it| it.text.starts_with("request:")) else {
         return if lines.is_empty() {
             "no log line has this request id: it reached none of these gateways, or its lines were \
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -108,7 +108,7 @@
                     );
                     return Err(ErrorResponse::with_retry_after(Code::Overloaded, retry_ms));
                 }
-                Selection::Overloaded | Selection::Unavailable => break,
+                Selection::Overloaded | Selection::Unavailable(_) => break,
             };
         let timeout_ms = selection::response_timeout_ms(gateway, &context, &retry_state, &handle);
         let opened =
@@ -165,10 +165,10 @@
             handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
             return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "unreachable"));
         }
-        Ok(Err(SendError::ConnectionLost { idle_ms })) => {
+        Ok(Err(SendError::ConnectionLost { idle_ms, io })) => {
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
             check_for_crash(gateway, context, handle);
-            let cause = format!("connection broken, idle_ms={idle_ms:?}");
+            let cause = format!("connection broken, idle_ms={idle_ms:?}, io={io:?}");
             return Err(log_failure(gateway, context, handle, AttemptError::Unknown, &cause));
         }
         Err(_) => {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,8 @@
 //! HTTP connection pool for one server.
 
-use std::{cell::RefCell, collections::VecDeque, net::SocketAddrV4, time::Duration};
+use std::{
+    cell::RefCell, collections::VecDeque, error::Error, io, net::SocketAddrV4, time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -31,8 +33,8 @@
     Unreachable,
     /// The connection was lost after the request may have been sent; `idle_ms`
     /// is the time for which the connection had been idle, in milliseconds, or
-    /// `None` for a new connection.
-    ConnectionLost { idle_ms: Option<u64> },
+    /// `None` for a new connection, and `io` the I/O error, if it was one.
+    ConnectionLost { idle_ms: Option<u64>, io: Option<io::ErrorKind> },
 }
 
 /// An HTTP/1.1 connection that carries one request at a time; dropping it
@@ -97,7 +99,10 @@
                 Err(mut err) => match err.take_message() {
                     Some(unsent) if idle_ms.is_some() => request = unsent,
                     Some(_) => return Err(SendError::Unreachable),
-                    None => return Err(SendError::ConnectionLost { idle_ms }),
+                    None => {
+                        let io = io_error_kind(err.error());
+                        return Err(SendError::ConnectionLost { idle_ms, io });
+                    }
                 },
             }
         }
@@ -171,6 +176,19 @@
     }
 }
 
+/// Returns the kind of the I/O error that caused `err`, such as a connection that the
+/// operating system has timed out.
+pub(crate) fn io_error_kind(err: &hyper::Error) -> Option<io::ErrorKind> {
+    let mut source = err.source();
+    while let Some(cause) = source {
+        if let Some(io) = cause.downcast_ref::<io::Error>() {
+            return Some(io.kind());
+        }
+        source = cause.source();
+    }
+    None
+}
+
 fn is_usable(connection: &Connection, now: Millis) -> bool {
     connection.sender.is_ready() && now.since(connection.idle_since) < connection.max_idle_ms
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,7 +22,7 @@
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
-    pool::Connection,
+    pool::{self, Connection},
     request::RequestContext,
     selection::{self, RetryState, Selection},
 };
@@ -62,6 +62,8 @@
     retry_state: RetryState,
     /// Number of chunks sent to the client.
     chunks: u32,
+    /// When the last data arrived.
+    last_data: Millis,
     /// Longest wait for data after the first chunk, in milliseconds.
     max_gap_ms: u64,
     /// Whether the outcome of the stream has been logged.
@@ -84,6 +86,7 @@
         upstream: Upstream::from_open(open),
         retry_state,
         chunks: 0,
+        last_data: gateway.now(),
         max_gap_ms: 0,
         finished: false,
     };
@@ -127,7 +130,16 @@
                     return None;
                 }
                 Ok(None) => "ended inside an event",
-                Ok(Some(Err(_))) => "connection broken",
+                Ok(Some(Err(err))) => {
+                    spdlog::info!(
+                        "stream: id={} endpoint={} broken=true io={:?} silent_ms={}",
+                        self.context.metadata.attempt_id,
+                        self.upstream.in_flight.handle().id(),
+                        pool::io_error_kind(&err),
+                        self.silent_ms()
+                    );
+                    "connection broken"
+                }
                 Err(_) => "silent",
             };
             if !self.resume(cause).await {
@@ -149,7 +161,13 @@
         remaining_ms.min((route.gap_goal_ms * GAP_GOAL_FACTOR).max(MIN_GAP_TIMEOUT_MS))
     }
 
+    /// Returns the time since the last data arrived, in milliseconds.
+    fn silent_ms(&self) -> u64 {
+        self.gateway.now().since(self.last_data)
+    }
+
     fn record_gap(&mut self, waiting_since: Millis) {
+        self.last_data = self.gateway.now();
         if self.chunks > 0 {
             self.max_gap_ms = self.max_gap_ms.max(self.gateway.now().since(waiting_since));
         }
@@ -206,6 +224,12 @@
                 Err(_) => self.retry_state.ran += 1,
             }
         }
+        spdlog::info!(
+            "retry: id={} denied=true cause=max_attempts sent={} ran={}",
+            self.context.metadata.attempt_id,
+            self.retry_state.sent,
+            self.retry_state.ran
+        );
         false
     }
 
@@ -226,14 +250,16 @@
     fn log(&self, outcome: &str, cause: &str) {
         spdlog::info!(
             "request: id={} route={} endpoint={} outcome={outcome} cause={cause:?} last_event={:?} \
-             pieces={} slowest_ms={} closing={} elapsed_ms={}",
+             pieces={} slowest_ms={} silent_ms={} closing={} config={} elapsed_ms={}",
             self.context.metadata.attempt_id,
             self.context.route().name,
             self.upstream.in_flight.handle().id(),
             self.splitter.last_id(),
             self.chunks,
             self.max_gap_ms,
+            self.silent_ms(),
             self.upstream.closing,
+            self.gateway.config_version(),
             self.gateway.now().since(self.context.arrived)
         );
     }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -51,9 +51,32 @@
     Endpoint(Rc<EndpointHandle>),
     /// Every remaining engine is at its load limit.
     Overloaded,
-    /// No endpoint, retry budget or time remains, or the request was sent the
-    /// maximum number of times.
-    Unavailable,
+    /// No endpoint may be sent the request.
+    Unavailable(Unavailable),
+}
+
+/// Why no endpoint was selected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Unavailable {
+    /// Too little time remains.
+    Deadline,
+    /// The request was sent to the maximum number of endpoints.
+    SendLimit,
+    /// No endpoint is open that the request was not sent to.
+    NoEndpoint,
+    /// The retry budget of the service is exhausted.
+    RetryBudget,
+}
+
+impl Unavailable {
+    fn log_label(self) -> &'static str {
+        match self {
+            Unavailable::Deadline => "deadline",
+            Unavailable::SendLimit => "send_limit",
+            Unavailable::NoEndpoint => "no_endpoint",
+            Unavailable::RetryBudget => "budget",
+        }
+    }
 }
 
 /// Selects the next endpoint for a request and records it in `retry_state`.
@@ -64,10 +87,34 @@
     context: &RequestContext,
     retry_state: &mut RetryState,
     progress: Progress,
+) -> Selection {
+    let selection = try_next_endpoint(gateway, context, retry_state, progress);
+    if let Selection::Unavailable(cause) = &selection
+        && retry_state.sent > 0
+    {
+        spdlog::info!(
+            "retry: id={} denied=true cause={} sent={} ran={}",
+            context.metadata.attempt_id,
+            cause.log_label(),
+            retry_state.sent,
+            retry_state.ran
+        );
+    }
+    selection
+}
+
+fn try_next_endpoint(
+    gateway: &Gateway,
+    context: &RequestContext,
+    retry_state: &mut RetryState,
+    progress: Progress,
 ) -> Selection {
     let now = gateway.now();
-    if context.remaining_ms(now) < MIN_REMAINING_MS || retry_state.sent >= MAX_SENDS {
-        return Selection::Unavailable;
+    if context.remaining_ms(now) < MIN_REMAINING_MS {
+        return Selection::Unavailable(Unavailable::Deadline);
+    }
+    if retry_state.sent >= MAX_SENDS {
+        return Selection::Unavailable(Unavailable::SendLimit);
     }
     let handle = match select_endpoint(gateway, context, retry_state, progress) {
         Selection::Endpoint(handle) => handle,
@@ -79,8 +126,7 @@
             gateway.count_gateways(),
             now,
         ) {
-            spdlog::info!("retry: id={} denied=true cause=budget", context.metadata.attempt_id);
-            return Selection::Unavailable;
+            return Selection::Unavailable(Unavailable::RetryBudget);
         }
         gateway.metrics.retries.inc();
     }
@@ -111,7 +157,7 @@
     let mut available: Vec<(Rc<EndpointHandle>, Candidate)> =
         untried.into_iter().zip(candidates).collect();
     if available.is_empty() {
-        return Selection::Unavailable;
+        return Selection::Unavailable(Unavailable::NoEndpoint);
     }
     if let Some(slots) = batch_slots(gateway, context) {
         let limit = admission::load_limit(policy, slots, context.authorized.priority, progress);
@@ -137,7 +183,7 @@
     let running = |key| f64::from(loads.count_with_prefix(key) + 1);
     let prefix = context.prefix.map(|key| Prefix { key, running: running(key) });
     let Some(index) = placement::choose(policy, prefix, &candidates, hash) else {
-        return Selection::Unavailable;
+        return Selection::Unavailable(Unavailable::NoEndpoint);
     };
     let (handle, candidate) = &available[index];
     spdlog::info!(
