Give up a silent endpoint only for another one

Callers saw requests end without a complete response (LOST), one of them beside a change of the configuration. Cause: a stream whose endpoint sent nothing for 1 s or four times the gap goal was cancelled first, and only then another endpoint was looked for; with none (attempts used up, retry budget spent, all over their load limit or down, or the other one refusing) the response was aborted, although a sound endpoint may be silent for a second and go on. Before the first byte the same order led to 504.

Now a silent endpoint is waited for until the deadline, and another one is searched every 250 ms. Its attempt overlaps with the silent one for 300 ms at most, and the first response counts; engines may not work on one request together for over 400 ms.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,6 +1,6 @@
 //! Sends a request to endpoints, one at a time, until one responds.
 
-use std::{rc::Rc, time::Duration};
+use std::{future::Future, pin::Pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -27,6 +27,7 @@
     relay,
     request::RequestContext,
     selection::{self, MIN_REMAINING_MS, RetryState, Selection},
+    silence::{Waited, Waiting},
 };
 
 /// Minimum retry delay for a request that no endpoint accepted, in
@@ -52,6 +53,33 @@
     pub(crate) body: Incoming,
 }
 
+/// A request that was sent to one endpoint; dropping it cancels the request there.
+pub(crate) struct Attempt {
+    pub(crate) handle: Rc<EndpointHandle>,
+    /// Completes when the response head has been received.
+    pub(crate) response: Pin<Box<dyn Future<Output = Result<OpenResponse, AttemptError>>>>,
+}
+
+impl Attempt {
+    /// Sends a request to `handle` once the response is polled; a stream starts after
+    /// `last_event`.
+    pub(crate) fn start(
+        gateway: &Rc<Gateway>,
+        context: &Rc<RequestContext>,
+        handle: Rc<EndpointHandle>,
+        last_event: Option<u64>,
+    ) -> Attempt {
+        let (gateway, context, receiver) = (gateway.clone(), context.clone(), handle.clone());
+        let response = async move { send_once(&gateway, &context, &receiver, last_event).await };
+        Attempt { handle, response: Box::pin(response) }
+    }
+
+    /// Returns the attempt with its response, after that has been received.
+    pub(crate) fn into_opened(self, open: OpenResponse) -> Attempt {
+        Attempt { handle: self.handle, response: Box::pin(async move { Ok(open) }) }
+    }
+}
+
 /// Why an attempt yielded no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AttemptError {
@@ -95,24 +123,35 @@
     let mut retry_state = RetryState::default();
     let mut server_error = None;
     let mut last_error = AttemptError::NotRun;
+    let mut replacement = None;
     loop {
-        let handle =
-            match selection::next_endpoint(gateway, &context, &mut retry_state, Progress::New) {
-                Selection::Endpoint(handle) => handle,
-                Selection::Overloaded if retry_state.sent == 0 => {
-                    let remaining_ms = context.remaining_ms(gateway.now());
-                    let retry_ms = admission::retry_after_ms(
-                        &gateway.settings.policy,
-                        remaining_ms,
-                        &context.metadata.attempt_id,
-                    );
-                    return Err(ErrorResponse::with_retry_after(Code::Overloaded, retry_ms));
-                }
-                Selection::Overloaded | Selection::Unavailable(_) => break,
-            };
-        let timeout_ms = selection::response_timeout_ms(gateway, &context, &retry_state, &handle);
-        let opened =
-            send_once(gateway, &context, &handle, context.metadata.last_event, timeout_ms).await;
+        let attempt = match replacement.take() {
+            Some(attempt) => attempt,
+            None => match start_next(gateway, &context, &mut retry_state)? {
+                Some(attempt) => attempt,
+                None => break,
+            },
+        };
+        let handle = attempt.handle.clone();
+        let patience_ms = selection::response_timeout_ms(gateway, &context, &retry_state, &handle);
+        let waiting = Waiting {
+            gateway,
+            context: &context,
+            retry_state: &mut retry_state,
+            handle: handle.clone(),
+            last_event: context.metadata.last_event,
+            progress: Progress::New,
+            patience: Duration::from_millis(patience_ms),
+        };
+        let opened = match waiting.run(attempt.response).await {
+            Waited::Received(opened) => opened,
+            Waited::Replaced(attempt) => {
+                last_error = log_silence(gateway, &context, &handle);
+                replacement = Some(attempt);
+                continue;
+            }
+            Waited::Expired => Err(log_silence(gateway, &context, &handle)),
+        };
         let error = match opened {
             Ok(open) if context.route().streaming && open.head.status.is_success() => {
                 return Ok(relay::start(gateway, context, open, retry_state));
@@ -129,13 +168,13 @@
             },
             Err(error) => error,
         };
-        if error == AttemptError::NotRun {
-            continue;
+        if error != AttemptError::NotRun {
+            last_error = error;
+            retry_state.ran += 1;
         }
-        last_error = error;
-        retry_state.ran += 1;
-        if context.route().retry == RetryPolicy::Never
-            || retry_state.ran >= context.route().max_attempts
+        let may_have_run = retry_state.ran > 0;
+        if retry_state.ran >= context.route().max_attempts
+            || (may_have_run && context.route().retry == RetryPolicy::Never)
         {
             break;
         }
@@ -143,38 +182,60 @@
     server_error.ok_or_else(|| final_error(gateway, &context, &retry_state, last_error))
 }
 
+/// Starts an attempt at the next endpoint; returns `None` if there is none.
+///
+/// # Errors
+///
+/// Returns an error response if the request has not been sent to any endpoint yet and
+/// every engine is overloaded.
+fn start_next(
+    gateway: &Rc<Gateway>,
+    context: &Rc<RequestContext>,
+    retry_state: &mut RetryState,
+) -> Result<Option<Attempt>, ErrorResponse> {
+    match selection::next_endpoint(gateway, context, retry_state, Progress::New) {
+        Selection::Endpoint(handle) => {
+            Ok(Some(Attempt::start(gateway, context, handle, context.metadata.last_event)))
+        }
+        Selection::Overloaded if retry_state.sent == 0 => {
+            let retry_ms = admission::retry_after_ms(
+                &gateway.settings.policy,
+                context.remaining_ms(gateway.now()),
+                &context.metadata.attempt_id,
+            );
+            Err(ErrorResponse::with_retry_after(Code::Overloaded, retry_ms))
+        }
+        Selection::Overloaded | Selection::Unavailable(_) => Ok(None),
+    }
+}
+
 /// Sends a request to one endpoint and waits for the response head.
 ///
 /// # Errors
 ///
 /// Returns an error that states whether the request may have run.
-pub(crate) async fn send_once(
+async fn send_once(
     gateway: &Rc<Gateway>,
     context: &Rc<RequestContext>,
     handle: &Rc<EndpointHandle>,
     last_event: Option<u64>,
-    timeout_ms: u64,
 ) -> Result<OpenResponse, AttemptError> {
     let in_flight = InFlight::new(handle.clone(), context.prefix, gateway.loads.clone());
     let request = build_request(gateway, context, handle, last_event);
-    let sent = timeout(Duration::from_millis(timeout_ms), handle.pool.send(request)).await;
+    let sent = handle.pool.send(request).await;
     let now = gateway.now();
     let (response, mut connection) = match sent {
-        Ok(Ok(sent)) => sent,
-        Ok(Err(SendError::Unreachable)) => {
+        Ok(sent) => sent,
+        Err(SendError::Unreachable) => {
             handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
             return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "unreachable"));
         }
-        Ok(Err(SendError::ConnectionLost { idle_ms, io })) => {
+        Err(SendError::ConnectionLost { idle_ms, io }) => {
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
             check_for_crash(gateway, context, handle);
             let cause = format!("connection broken, idle_ms={idle_ms:?}, io={io:?}");
             return Err(log_failure(gateway, context, handle, AttemptError::Unknown, &cause));
         }
-        Err(_) => {
-            handle.record_outcome(&gateway.settings.policy, Outcome::Silent, now);
-            return Err(log_failure(gateway, context, handle, AttemptError::Silent, "timed out"));
-        }
     };
     let (head, body) = response.into_parts();
     let metadata = gateway.dialect.decode_response(&head);
@@ -357,6 +418,15 @@
     });
 }
 
+/// Logs an attempt that was given up since its endpoint was silent.
+pub(crate) fn log_silence(
+    gateway: &Gateway,
+    context: &RequestContext,
+    handle: &EndpointHandle,
+) -> AttemptError {
+    log_failure(gateway, context, handle, AttemptError::Silent, "timed out")
+}
+
 /// Logs a failed attempt and returns its error.
 fn log_failure(
     gateway: &Gateway,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `request` | checks a request and selects its service |
 //! | `attempts` | sends a request to endpoints, one after the other |
 //! | `selection` | selects the endpoint for each attempt, or none under overload |
+//! | `silence` | gives up a silent endpoint only for another one |
 //! | `relay` | forwards a stream and resumes it at another endpoint |
 //! | `pool`, `endpoint_table`, `loads` | connections, health and load of endpoints |
 //! | `follow` | reads the configuration and lists from the store |
@@ -43,6 +44,7 @@
 mod run;
 mod selection;
 mod settings;
+mod silence;
 mod socket;
 mod store;
 mod sync;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,19 +18,20 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempts::{self, OpenResponse},
+    attempts::{self, Attempt, AttemptError, OpenResponse},
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
     pool::{self, Connection},
     request::RequestContext,
     selection::{self, RetryState, Selection},
+    silence::{Waited, Waiting},
 };
 
-/// Minimum time without data after which a resumable stream times out, in
-/// milliseconds.
+/// Minimum time without data after which the endpoint of a resumable stream counts as
+/// silent, in milliseconds.
 const MIN_GAP_TIMEOUT_MS: u64 = 1_000;
-/// Multiple of the route's gap goal after which a resumable stream times out.
+/// Multiple of the route's gap goal after which it counts as silent.
 const GAP_GOAL_FACTOR: u64 = 4;
 
 /// The response of the endpoint that currently sends the stream.
@@ -53,6 +54,30 @@
     }
 }
 
+/// Why an endpoint's stream ended before the last event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Interruption {
+    /// The connection was lost.
+    ConnectionBroken,
+    /// The response ended inside an event.
+    EndedInsideEvent,
+    /// Events are missing or too large.
+    InvalidEvent,
+    /// The endpoint sent nothing.
+    Silent,
+}
+
+impl Interruption {
+    fn log_label(self) -> &'static str {
+        match self {
+            Interruption::ConnectionBroken => "connection broken",
+            Interruption::EndedInsideEvent => "ended inside an event",
+            Interruption::InvalidEvent => "missing or oversized event",
+            Interruption::Silent => "silent",
+        }
+    }
+}
+
 /// A stream to one client, which several endpoints may send in turn.
 struct Relay {
     gateway: Rc<Gateway>,
@@ -111,9 +136,8 @@
         let mut out = Vec::new();
         loop {
             let waiting_since = self.gateway.now();
-            let gap_timeout = Duration::from_millis(self.gap_timeout_ms(waiting_since));
-            let cause = match timeout(gap_timeout, self.upstream.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
+            let interruption = match self.wait_for_frame().await {
+                Waited::Received(Some(Ok(frame))) => {
                     self.record_gap(waiting_since);
                     let Ok(data) = frame.into_data() else { continue };
                     match self.splitter.push(&data, &mut out) {
@@ -122,35 +146,53 @@
                             self.chunks += 1;
                             return Some(Ok(Bytes::from(out)));
                         }
-                        Err(_) => "missing or oversized event",
+                        Err(_) => Interruption::InvalidEvent,
                     }
                 }
-                Ok(None) if self.splitter.is_at_boundary() => {
+                Waited::Received(None) if self.splitter.is_at_boundary() => {
                     self.finish();
                     return None;
                 }
-                Ok(None) => "ended inside an event",
-                Ok(Some(Err(err))) => {
-                    spdlog::info!(
-                        "stream: id={} endpoint={} broken=true io={:?} silent_ms={}",
-                        self.context.metadata.attempt_id,
-                        self.upstream.in_flight.handle().id(),
-                        pool::io_error_kind(&err),
-                        self.silent_ms()
-                    );
-                    "connection broken"
+                Waited::Received(None) => Interruption::EndedInsideEvent,
+                Waited::Received(Some(Err(err))) => {
+                    self.log_broken_connection(&err);
+                    Interruption::ConnectionBroken
+                }
+                Waited::Replaced(attempt) => {
+                    self.log_silence();
+                    if self.resume(Interruption::Silent, Some(attempt)).await {
+                        continue;
+                    }
+                    return Some(Err(self.abort(Interruption::Silent)));
+                }
+                Waited::Expired => {
+                    self.log_silence();
+                    return Some(Err(self.abort(Interruption::Silent)));
                 }
-                Err(_) => "silent",
             };
-            if !self.resume(cause).await {
-                self.log("broken", cause);
-                self.finished = true;
-                return Some(Err(Aborted));
+            self.record_failure();
+            if !self.resume(interruption, None).await {
+                return Some(Err(self.abort(interruption)));
             }
         }
     }
 
-    /// Returns the time without data after which the stream times out, in
+    /// Waits for the next data, and gives up a silent endpoint for another one.
+    async fn wait_for_frame(&mut self) -> Waited<Option<hyper::Result<Frame<Bytes>>>> {
+        let patience_ms = self.gap_timeout_ms(self.gateway.now());
+        let waiting = Waiting {
+            gateway: &self.gateway,
+            context: &self.context,
+            retry_state: &mut self.retry_state,
+            handle: self.upstream.in_flight.handle().clone(),
+            last_event: self.splitter.last_id(),
+            progress: Progress::Started,
+            patience: Duration::from_millis(patience_ms),
+        };
+        waiting.run(self.upstream.body.frame()).await
+    }
+
+    /// Returns the time without data after which the endpoint counts as silent, in
     /// milliseconds.
     fn gap_timeout_ms(&self, now: Millis) -> u64 {
         let remaining_ms = self.context.remaining_ms(now);
@@ -173,66 +215,84 @@
         }
     }
 
-    /// Continues the stream at another endpoint after a failure; returns
-    /// whether that succeeded.
-    async fn resume(&mut self, cause: &str) -> bool {
-        let handle = self.upstream.in_flight.handle().clone();
-        let is_silent = cause == "silent";
-        handle.record_outcome(
-            &self.gateway.settings.policy,
-            if is_silent { Outcome::Silent } else { Outcome::Failed },
-            self.gateway.now(),
-        );
-        if !is_silent {
-            attempts::check_for_crash(&self.gateway, &self.context, &handle);
-        }
+    /// Records that the endpoint has failed to send the whole stream.
+    fn record_failure(&mut self) {
+        let handle = self.upstream.in_flight.handle();
+        let policy = &self.gateway.settings.policy;
+        handle.record_outcome(policy, Outcome::Failed, self.gateway.now());
+        attempts::check_for_crash(&self.gateway, &self.context, handle);
+        self.retry_state.ran += 1;
+    }
+
+    /// Continues the stream at another endpoint, to which `replacement` was sent if there
+    /// is one; returns whether that succeeded.
+    async fn resume(
+        &mut self,
+        interruption: Interruption,
+        mut replacement: Option<Attempt>,
+    ) -> bool {
         // Closing the connection cancels the request at the endpoint.
         self.upstream.connection = None;
-        self.retry_state.ran += 1;
-        let route = self.context.route();
         let may_resume = self.gateway.settings.policy.resume_streams;
-        if route.retry == RetryPolicy::Never || !may_resume {
+        if self.context.route().retry == RetryPolicy::Never || !may_resume {
             return false;
         }
         self.splitter.restart();
-        while self.retry_state.ran < self.context.route().max_attempts {
-            let next = selection::next_endpoint(
-                &self.gateway,
-                &self.context,
-                &mut self.retry_state,
-                Progress::Started,
-            );
-            let Selection::Endpoint(handle) = next else { return false };
-            let timeout_ms = self.context.remaining_ms(self.gateway.now());
-            let last_id = self.splitter.last_id();
-            let opened =
-                attempts::send_once(&self.gateway, &self.context, &handle, last_id, timeout_ms)
-                    .await;
+        let last_id = self.splitter.last_id();
+        while let Some(attempt) = replacement.take().or_else(|| self.start_next()) {
+            let remaining_ms = self.context.remaining_ms(self.gateway.now());
+            let opened = timeout(Duration::from_millis(remaining_ms), attempt.response).await;
             match opened {
-                Ok(open) if open.head.status.is_success() => {
+                Ok(Ok(open)) if open.head.status.is_success() => {
                     self.gateway.metrics.resumes.inc();
                     spdlog::info!(
-                        "resume: id={} endpoint={} after_event={last_id:?} cause={cause:?}",
+                        "resume: id={} endpoint={} after_event={last_id:?} cause={:?}",
                         self.context.metadata.attempt_id,
-                        handle.id()
+                        attempt.handle.id(),
+                        interruption.log_label()
                     );
                     self.upstream = Upstream::from_open(open);
                     return true;
                 }
-                Ok(_) => self.retry_state.ran += 1,
-                Err(attempts::AttemptError::NotRun) => {}
-                Err(_) => self.retry_state.ran += 1,
+                Ok(Err(AttemptError::NotRun)) => {}
+                Ok(Ok(_) | Err(_)) => self.retry_state.ran += 1,
+                Err(_) => {
+                    self.retry_state.ran += 1;
+                    let policy = &self.gateway.settings.policy;
+                    attempt.handle.record_outcome(policy, Outcome::Silent, self.gateway.now());
+                    attempts::log_silence(&self.gateway, &self.context, &attempt.handle);
+                }
             }
         }
-        spdlog::info!(
-            "retry: id={} denied=true cause=max_attempts sent={} ran={}",
-            self.context.metadata.attempt_id,
-            self.retry_state.sent,
-            self.retry_state.ran
-        );
         false
     }
 
+    /// Starts an attempt to resume the stream at another endpoint, if the route and the
+    /// retry budget allow it.
+    fn start_next(&mut self) -> Option<Attempt> {
+        if self.retry_state.ran >= self.context.route().max_attempts {
+            spdlog::info!(
+                "retry: id={} denied=true cause=max_attempts sent={} ran={}",
+                self.context.metadata.attempt_id,
+                self.retry_state.sent,
+                self.retry_state.ran
+            );
+            return None;
+        }
+        let (gateway, context) = (&self.gateway, &self.context);
+        let next =
+            selection::next_endpoint(gateway, context, &mut self.retry_state, Progress::Started);
+        let Selection::Endpoint(handle) = next else { return None };
+        Some(Attempt::start(gateway, context, handle, self.splitter.last_id()))
+    }
+
+    /// Logs the end of a stream that could not be resumed.
+    fn abort(&mut self, interruption: Interruption) -> Aborted {
+        self.log("broken", interruption.log_label());
+        self.finished = true;
+        Aborted
+    }
+
     /// Records a complete stream and returns its connection to the pool.
     fn finish(&mut self) {
         self.finished = true;
@@ -247,6 +307,21 @@
         self.log("complete", "");
     }
 
+    fn log_silence(&self) {
+        let handle = self.upstream.in_flight.handle();
+        attempts::log_silence(&self.gateway, &self.context, handle);
+    }
+
+    fn log_broken_connection(&self, err: &hyper::Error) {
+        spdlog::info!(
+            "stream: id={} endpoint={} broken=true io={:?} silent_ms={}",
+            self.context.metadata.attempt_id,
+            self.upstream.in_flight.handle().id(),
+            pool::io_error_kind(err),
+            self.silent_ms()
+        );
+    }
+
     fn log(&self, outcome: &str, cause: &str) {
         spdlog::info!(
             "request: id={} route={} endpoint={} outcome={outcome} cause={cause:?} last_event={:?} \
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -211,10 +211,11 @@
     gateway.routes.borrow().service(&context.service)?.batch_slots
 }
 
-/// Returns the timeout for the response head from an endpoint, in milliseconds.
+/// Returns the time without a response head after which an endpoint counts as silent,
+/// in milliseconds.
 ///
-/// While the route allows another attempt, the timeout leaves at least a third
-/// of the remaining time for it.
+/// While the route allows another attempt, at least a third of the remaining time is
+/// left for it.
 pub(crate) fn response_timeout_ms(
     gateway: &Gateway,
     context: &RequestContext,
