Move EndpointHandle out of endpoint_table.rs

endpoint_table.rs held two types. `EndpointHandle` with `ReportedLoad`, its constant and `node_number` is now in endpoint_handle.rs; `EndpointTable` and `to_candidates` stay and read the handle's private fields through `node`, `in_flight` and `mean_duration`, of which the last two are new read-only methods.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     dialect::{ForwardMetadata, ResponseMetadata},
-    endpoint_table::EndpointHandle,
+    endpoint_handle::EndpointHandle,
     error_response::{Code, ErrorResponse},
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
--- /dev/null
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -0,0 +1,206 @@
+//! An endpoint as the request path uses it: connections, load and health.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use mimosaledge_core::{Millis, Name, hash::hash64};
+use mimosaledge_policy::{
+    Endpoint, EndpointState, PolicySettings,
+    health::{Health, Outcome, Tally},
+    load::{self, MeanDuration, Report},
+    placement::Candidate,
+};
+
+use crate::{
+    clock::Clock,
+    loads::{LoadSample, Loads},
+    pool::Pool,
+};
+
+/// Age up to which the load that an endpoint reported is sent to other
+/// gateways, in milliseconds.
+const MAX_SAMPLE_AGE_MS: u64 = 2_000;
+
+/// The load that an endpoint reported in a response.
+#[derive(Debug, Clone, Copy)]
+struct ReportedLoad {
+    load: u32,
+    at: Millis,
+    /// Whether the endpoint reported it to this gateway, not to a peer.
+    is_direct: bool,
+}
+
+/// Connections, load and health of one incarnation of an endpoint.
+#[derive(Debug)]
+pub(crate) struct EndpointHandle {
+    pub(crate) endpoint: RefCell<Endpoint>,
+    pub(crate) pool: Pool,
+    node: u64,
+    /// Number of this gateway's requests in flight.
+    in_flight: Cell<u32>,
+    reported: Cell<Option<ReportedLoad>>,
+    health: RefCell<Health>,
+    /// Mean duration of the requests of the endpoint's service.
+    mean_duration: Rc<Cell<MeanDuration>>,
+    clock: Clock,
+}
+
+impl EndpointHandle {
+    /// Creates a handle without requests or connections.
+    pub(crate) fn new(
+        endpoint: Endpoint,
+        mean_duration: Rc<Cell<MeanDuration>>,
+        clock: Clock,
+    ) -> EndpointHandle {
+        let node = node_number(&endpoint);
+        let pool = Pool::new(endpoint.address, clock);
+        EndpointHandle {
+            endpoint: RefCell::new(endpoint),
+            pool,
+            node,
+            in_flight: Cell::new(0),
+            reported: Cell::new(None),
+            health: RefCell::default(),
+            mean_duration,
+            clock,
+        }
+    }
+
+    /// Returns the node number, which identifies this incarnation on all
+    /// gateways.
+    pub(crate) fn node(&self) -> u64 {
+        self.node
+    }
+
+    /// Returns the endpoint's identifier.
+    pub(crate) fn id(&self) -> Name {
+        self.endpoint.borrow().id.clone()
+    }
+
+    /// Returns the number of this gateway's requests in flight.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Returns the mean duration of the requests of the endpoint's service.
+    pub(crate) fn mean_duration(&self) -> MeanDuration {
+        self.mean_duration.get()
+    }
+
+    /// Counts a request of this gateway as in flight; returns the current time.
+    pub(crate) fn add_request(&self) -> Millis {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.clock.now()
+    }
+
+    /// Stops counting a request of this gateway that was in flight since `started`.
+    pub(crate) fn remove_request(&self, started: Millis) {
+        self.in_flight.set(self.in_flight.get() - 1);
+        let mut mean_duration = self.mean_duration.get();
+        mean_duration.record(self.clock.now().since(started));
+        self.mean_duration.set(mean_duration);
+    }
+
+    /// Records how a request ended.
+    pub(crate) fn record_outcome(&self, policy: &PolicySettings, outcome: Outcome, now: Millis) {
+        let mut health = self.health.borrow_mut();
+        let was_up = health.is_up();
+        health.record(policy, outcome, now);
+        if was_up != health.is_up() {
+            let id = &self.endpoint.borrow().id;
+            spdlog::info!("health: endpoint={id} up={} cause={outcome:?}", health.is_up());
+        }
+        if !health.is_up() {
+            self.pool.clear();
+        }
+    }
+
+    /// Returns whether the endpoint may be sent new requests.
+    pub(crate) fn is_open(&self) -> bool {
+        self.endpoint.borrow().state == EndpointState::Ready && self.health.borrow().is_up()
+    }
+
+    /// Returns whether the endpoint is believed to be reachable.
+    pub(crate) fn is_reachable(&self) -> bool {
+        self.health.borrow().is_up()
+    }
+
+    /// Returns the numbers of successes and failures of this gateway's recent
+    /// requests.
+    pub(crate) fn tally(&self, now: Millis) -> Tally {
+        self.health.borrow().tally(now)
+    }
+
+    /// Returns whether the endpoint last reported that all its slots are in
+    /// use.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.reported.get().is_some_and(|it| it.load >= self.endpoint.borrow().slots)
+    }
+
+    /// Records the load that the endpoint reported to this gateway.
+    pub(crate) fn record_load(&self, load: u32, now: Millis) {
+        self.reported.set(Some(ReportedLoad { load, at: now, is_direct: true }));
+    }
+
+    /// Returns the load that the endpoint reported to this gateway, if it is
+    /// recent.
+    pub(crate) fn to_sample(&self, now: Millis) -> Option<LoadSample> {
+        let report = self.reported.get().filter(|it| it.is_direct)?;
+        let age_ms = now.since(report.at);
+        (age_ms < MAX_SAMPLE_AGE_MS).then(|| LoadSample::new(self.node, report.load, age_ms))
+    }
+
+    /// Applies the load that the endpoint reported to another gateway, if that
+    /// is newer than the last known one.
+    pub(crate) fn apply_sample(&self, sample: &LoadSample, now: Millis) {
+        let at = now - sample.age_ms();
+        if self.reported.get().is_none_or(|known| known.at < at) {
+            self.reported.set(Some(ReportedLoad { load: sample.load(), at, is_direct: false }));
+        }
+    }
+
+    /// Returns the last load that the endpoint reported.
+    fn report(&self, now: Millis) -> Option<Report> {
+        let reported = self.reported.get()?;
+        Some(Report { load: reported.load.into(), age_ms: now.since(reported.at) })
+    }
+
+    /// Returns the endpoint as a candidate for placement; `known_load` is the
+    /// estimate from the requests of all gateways.
+    pub(crate) fn to_candidate(
+        &self,
+        known_load: f64,
+        data_centre: &str,
+        loads: &Loads,
+        now: Millis,
+    ) -> Candidate {
+        let tally = self.tally(now) + loads.peer_outcomes(self.node);
+        Candidate {
+            node: self.node,
+            load: load::with_report(known_load, self.report(now), loads.max_report_age_ms()),
+            is_local: &*self.endpoint.borrow().data_centre == data_centre,
+            failure_rate: tally.failure_rate(),
+            refusal_rate: tally.refusal_rate(),
+        }
+    }
+
+    /// Probes the endpoint with a connection, if it is down and due for a
+    /// probe.
+    pub(crate) async fn probe(&self, now: Millis) {
+        if !self.health.borrow_mut().take_probe(now) {
+            return;
+        }
+        if self.pool.try_connect().await {
+            self.health.borrow_mut().mark_reachable();
+            spdlog::info!("health: endpoint={} up=true cause=connected", self.id());
+        }
+    }
+}
+
+/// Returns the node number of an endpoint, which identifies its incarnation.
+pub(crate) fn node_number(endpoint: &Endpoint) -> u64 {
+    let started_ms = endpoint.started_ms.unwrap_or_default();
+    hash64(format!("{}\n{started_ms}\n{}", endpoint.id, endpoint.address).as_bytes())
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,8 @@
 //! | `attempts` | sends a request to endpoints, one after the other |
 //! | `selection` | selects the endpoint for each attempt, or none under overload |
 //! | `relay` | forwards a stream and resumes it at another endpoint |
-//! | `pool`, `endpoint_table`, `loads` | connections, health and load of endpoints |
+//! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
+//! | `endpoint_table` | all listed endpoints, and candidates for placement |
 //! | `follow` | reads the configuration and lists from the store |
 //! | `gossip`, `messages`, `peers` | exchange heartbeats with the other gateways |
 //! | `sync` | fetches missing state from another gateway |
@@ -23,6 +24,7 @@
 mod dialect;
 mod directory;
 mod drain;
+mod endpoint_handle;
 mod endpoint_table;
 mod error;
 mod error_response;
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -9,7 +9,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::endpoint_table::EndpointHandle;
+use crate::endpoint_handle::EndpointHandle;
 
 /// Factor by which outcomes are scaled for sending: tallies decay and are not
 /// whole numbers, so that they are sent in tenths of a request.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -12,9 +12,7 @@
 };
 
 use crate::{
-    endpoint_table::{self, EndpointHandle},
-    gateway::Gateway,
-    request::RequestContext,
+    endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway, request::RequestContext,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
