Move the cursor of a topic out of follow.rs

follow.rs held the retries of single reads beside the loops over the topics. `Cursor`, `Read`, `check_era`, `metric_label` and the timeouts of a call are now in cursor.rs; follow.rs keeps the loops. What follow.rs uses is visible in the crate, the rest stays private.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! | `relay` | forwards a stream and resumes it at another endpoint |
 //! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
-//! | `follow` | reads the configuration and lists from the store |
+//! | `follow`, `cursor` | read the configuration and lists from the store |
 //! | `gossip`, `messages`, `peers` | exchange heartbeats with the other gateways |
 //! | `sync` | fetches missing state from another gateway |
 //! | `gateway` | holds the state that these modules share |
@@ -21,6 +21,7 @@
 
 mod attempts;
 mod clock;
+mod cursor;
 mod dialect;
 mod directory;
 mod drain;
