Move the methods of the endpoint list out of gateway.rs

gateway.rs held the shared state beside all changes of the endpoint list. The methods that read, mark, change, replace and confirm the list, and `format_change`, are now a second `impl Gateway` in endpoint_list.rs; the summaries, which compare the configuration as well, stay. `list_digest` becomes visible in the crate, because both files use it; no other visibility changes. The guide in lib.rs names the file.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,14 +5,10 @@
     rc::Rc,
 };
 
-use mimosaledge_core::{Millis, Name, quarantine::Quarantine};
+use mimosaledge_core::{Millis, quarantine::Quarantine};
 use mimosaledge_policy::{
-    Endpoint, FleetConfig, Position,
-    config::RouteTable,
-    endpoints::{Change, Endpoints},
-    history::History,
-    prefix_cache::CachedPrefixes,
-    retry_budget::RetryBudget,
+    FleetConfig, Position, config::RouteTable, endpoints::Endpoints, history::History,
+    prefix_cache::CachedPrefixes, retry_budget::RetryBudget,
 };
 use tokio::{
     net::UdpSocket,
@@ -70,7 +66,7 @@
     /// When the endpoint list was last known to be current.
     pub(crate) list_confirmed: Cell<Millis>,
     /// Digest of the endpoint list.
-    list_digest: Cell<u64>,
+    pub(crate) list_digest: Cell<u64>,
     /// Latest known era of the store; a rise invalidates pending long polls.
     pub(crate) era: watch::Sender<u64>,
     /// Whether peers have not been told the era yet.
@@ -160,30 +156,6 @@
         self.now().since(self.config_confirmed.get()) < CONFIG_STALE_MS
     }
 
-    /// Returns whether the last read of the endpoint list succeeded.
-    pub(crate) fn is_list_available(&self) -> bool {
-        !self.endpoints.borrow().is_list_unavailable()
-    }
-
-    /// Returns whether this gateway reads the endpoint list from the store,
-    /// rather than receiving it from its peers.
-    pub(crate) fn is_list_reader(&self) -> bool {
-        self.is_list_available() && self.peers.borrow().is_reader(self.now())
-    }
-
-    /// Records a successful read of the endpoint list, which confirms the
-    /// configuration as well.
-    pub(crate) fn mark_list_read(&self) {
-        self.endpoints.borrow_mut().mark_list_available(self.list_age_ms(), self.now());
-        self.list_confirmed.set(self.now());
-        self.config_confirmed.set(self.now());
-    }
-
-    /// Records that the endpoint list could not be read.
-    pub(crate) fn mark_list_unavailable(&self) {
-        self.endpoints.borrow_mut().mark_list_unavailable();
-    }
-
     /// Activates a configuration if it is newer than the active one.
     pub(crate) fn apply_config(&self, config: FleetConfig, source: &str) {
         if config.version <= self.config_version() {
@@ -218,80 +190,6 @@
         }
     }
 
-    /// Applies changes of the endpoint list that were read from the store up to
-    /// `position`, and deferred removals that are now due.
-    pub(crate) fn apply_changes(&self, changes: Vec<Change>, position: Position) {
-        let now = self.now();
-        let mut endpoints = self.endpoints.borrow_mut();
-        let mut applied: Vec<Change> =
-            endpoints.expire(now).into_iter().map(Change::Remove).collect();
-        for change in changes {
-            if endpoints.apply(change.clone(), now) {
-                applied.push(change);
-            }
-        }
-        endpoints.advance_to(position);
-        self.publish_changes(&endpoints, applied, position);
-    }
-
-    /// Replaces the endpoint list with that of a store that was restored from an
-    /// older copy, as of `position`.
-    pub(crate) fn restore_from_store(&self, entries: Vec<Endpoint>, position: Position) {
-        spdlog::warn!("endpoints: listed={} position={position} restored=true", entries.len());
-        let mut endpoints = self.endpoints.borrow_mut();
-        let applied = endpoints.restore(entries, self.now());
-        endpoints.advance_to(position);
-        self.publish_changes(&endpoints, applied, position);
-    }
-
-    /// Updates the state that follows the endpoint list after the changes
-    /// `applied`, and keeps them to send them to peers.
-    fn publish_changes(&self, endpoints: &Endpoints, applied: Vec<Change>, position: Position) {
-        if applied.is_empty() {
-            return;
-        }
-        for change in &applied {
-            spdlog::info!("endpoints: {} position={position}", format_change(change));
-        }
-        let base_digest = self.list_digest.get();
-        self.history.borrow_mut().record(base_digest, &applied);
-        self.update_endpoint_table(endpoints);
-        self.unsent_changes.borrow_mut().add(base_digest, self.list_digest.get(), applied);
-    }
-
-    /// Applies changes that a peer has read, if this gateway has the list that
-    /// they are relative to.
-    pub(crate) fn apply_batch(&self, batch: ChangeBatch, summary: &StateSummary) {
-        if batch.base_digest == self.list_digest.get() && !batch.changes.is_empty() {
-            self.apply_peer_changes(batch.changes, summary.position, "peer");
-        }
-    }
-
-    /// Applies changes from a peer, which must be relative to the current list.
-    pub(crate) fn apply_peer_changes(
-        &self,
-        changes: Vec<Change>,
-        position: Position,
-        source: &str,
-    ) {
-        let mut endpoints = self.endpoints.borrow_mut();
-        for change in &changes {
-            spdlog::info!(
-                "endpoints: {} position={position} source={source}",
-                format_change(change)
-            );
-        }
-        self.history.borrow_mut().record(self.list_digest.get(), &changes);
-        endpoints.apply_from_peer(changes, self.now());
-        self.update_endpoint_table(&endpoints);
-    }
-
-    /// Updates the digest and the endpoint table after a change of the list.
-    fn update_endpoint_table(&self, endpoints: &Endpoints) {
-        self.list_digest.set(endpoints.digest());
-        self.endpoint_table.borrow_mut().update(endpoints.iter(), self.clock);
-    }
-
     /// Returns a summary of the configuration and endpoint list, for comparison
     /// with those of peers.
     pub(crate) fn state_summary(&self) -> StateSummary {
@@ -318,68 +216,8 @@
         }
     }
 
-    /// Records that the endpoint list was current `age_ms` ago; returns that
-    /// time.
-    pub(crate) fn confirm_list(&self, age_ms: u64) -> Millis {
-        let read_at = self.now() - age_ms;
-        self.list_confirmed.set(self.list_confirmed.get().max(read_at));
-        read_at
-    }
-
-    /// Returns the time since the endpoint list was last known to be current,
-    /// in milliseconds.
-    pub(crate) fn list_age_ms(&self) -> u64 {
-        self.now().since(self.list_confirmed.get())
-    }
-
-    /// Replaces the endpoint list with the store's as of `position`.
-    pub(crate) fn replace_from_store(&self, entries: Vec<Endpoint>, position: Position) {
-        spdlog::info!("endpoints: listed={} position={position} source=store", entries.len());
-        let mut endpoints = self.endpoints.borrow_mut();
-        endpoints.replace(entries, self.now());
-        self.history.borrow_mut().clear();
-        endpoints.advance_to(position);
-        self.update_endpoint_table(&endpoints);
-    }
-
-    /// Replaces the endpoint list with a peer's as of `position`.
-    pub(crate) fn replace_from_peer(
-        &self,
-        entries: Vec<Endpoint>,
-        position: Position,
-        source: &str,
-    ) {
-        spdlog::info!("endpoints: listed={} position={position} source={source}", entries.len());
-        let mut endpoints = self.endpoints.borrow_mut();
-        endpoints.replace_from_peer(entries, position, self.now());
-        self.history.borrow_mut().clear();
-        self.update_endpoint_table(&endpoints);
-    }
-
     /// Returns the number of live gateways, including this one.
     pub(crate) fn count_gateways(&self) -> usize {
         self.peers.borrow().count_alive(self.now()) + 1
     }
-
-    /// Removes an endpoint after another one has responded at its address.
-    pub(crate) fn remove_endpoint(&self, id: &Name) {
-        let mut endpoints = self.endpoints.borrow_mut();
-        if endpoints.apply(Change::Remove(id.clone()), self.now()) {
-            spdlog::info!("endpoints: id={id} gone=true cause=misdirected");
-            self.history.borrow_mut().record(self.list_digest.get(), &[Change::Remove(id.clone())]);
-            self.update_endpoint_table(&endpoints);
-        }
-    }
-}
-
-fn format_change(change: &Change) -> String {
-    match change {
-        Change::Upsert(it) => {
-            format!(
-                "id={} state={:?} service={} address={}",
-                it.id, it.state, it.service, it.address
-            )
-        }
-        Change::Remove(id) => format!("id={id} gone=true"),
-    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `gossip`, `messages`, `peers` | exchange heartbeats with the other gateways |
 //! | `sync` | fetches missing state from another gateway |
 //! | `gateway` | holds the state that these modules share |
+//! | `endpoint_list` | applies changes of the endpoint list to that state |
 //! | `run`, `drain` | startup, maintenance and graceful shutdown |
 
 mod attempts;
@@ -26,6 +27,7 @@
 mod directory;
 mod drain;
 mod endpoint_handle;
+mod endpoint_list;
 mod endpoint_table;
 mod error;
 mod error_response;
