--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,18 +12,23 @@
 //! | `selection` | selects the endpoint for each attempt, or none under overload |
 //! | `silence` | gives up a silent endpoint only for another one |
 //! | `relay` | forwards a stream and resumes it at another endpoint |
-//! | `pool`, `endpoint_table`, `loads` | connections, health and load of endpoints |
-//! | `follow` | reads the configuration and lists from the store |
+//! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
+//! | `endpoint_table` | all listed endpoints, and candidates for placement |
+//! | `follow`, `cursor` | read the configuration and lists from the store |
 //! | `gossip`, `messages`, `peers` | exchange heartbeats with the other gateways |
 //! | `sync` | fetches missing state from another gateway |
 //! | `gateway` | holds the state that these modules share |
+//! | `endpoint_list` | applies changes of the endpoint list to that state |
 //! | `run`, `drain` | startup, maintenance and graceful shutdown |
 
 mod attempts;
 mod clock;
+mod cursor;
 mod dialect;
 mod directory;
 mod drain;
+mod endpoint_handle;
+mod endpoint_list;
 mod endpoint_table;
 mod error;
 mod error_response;
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     attempts::{Attempt, AttemptError},
-    endpoint_table::EndpointHandle,
+    endpoint_handle::EndpointHandle,
     gateway::Gateway,
     request::RequestContext,
     selection::{self, RetryState, Selection},
