Do not close connections to endpoints that are silent for a second

Callers got 502 for requests that a sound endpoint would have answered: connections to endpoints had a TCP user timeout of 1 s, half of that of all others, so that the kernel gave them up when an endpoint read or acknowledged nothing for a second. All connections now have the timeout of 2 s; a stream whose endpoint sends nothing is taken over by another one before that.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -33,7 +33,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Err(err) = socket::set_options(&stream, socket::USER_TIMEOUT) {
+                if let Err(err) = socket::set_options(&stream) {
                     spdlog::warn!(
                         "listener: cannot set socket options, connection dropped, cause={err}"
                     );
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -155,7 +155,7 @@
     async fn connect(&self) -> Result<Connection, SendError> {
         let connecting = async {
             let stream = TcpStream::connect(self.address).await?;
-            socket::set_options(&stream, socket::ENDPOINT_USER_TIMEOUT)?;
+            socket::set_options(&stream)?;
             Ok::<_, std::io::Error>(stream)
         };
         let stream = match timeout(CONNECT_TIMEOUT, connecting).await {
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -15,19 +15,16 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
-/// TCP user timeout of connections to clients and other gateways: the time after
-/// which a connection is closed if sent data is not acknowledged.
-pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// TCP user timeout of connections to endpoints; shorter, so that another
-/// endpoint can still respond within the deadline.
-pub(crate) const ENDPOINT_USER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// TCP user timeout: the time after which a connection is closed if sent data is not
+/// acknowledged; longer than a sound endpoint is silent.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
 
 /// Sets the options of a connection: disables Nagle's algorithm, enables
 /// keepalive probes, and closes the connection if sent data is not acknowledged
-/// within `user_timeout`.
-pub(crate) fn set_options(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
+/// within [`USER_TIMEOUT`].
+pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -35,7 +32,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(user_timeout))
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
 /// Opens a listening socket.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -136,7 +136,7 @@
     request: SyncRequest,
 ) -> io::Result<SyncResponse> {
     let mut stream = TcpStream::connect((address, gateway.settings.listen.peers)).await?;
-    socket::set_options(&stream, socket::USER_TIMEOUT)?;
+    socket::set_options(&stream)?;
     write_message(&mut stream, &request).await?;
     read_message(&mut stream).await
 }
