Let a replacement win only by a response, and a failure lose only to one

A replacement that answered with a server error took over and ended the stream; a silent endpoint that then failed cancelled the replacement that was already running, which the code before the fix would not have done; and a replacement that refused late was not followed by another search. Besides, an overlap ran past the deadline by up to 285 ms, and silences that ended still counted towards marking an endpoint as down.

Now a success ends the other attempt, a failure leaves it running; idempotent requests, which no engine runs, overlap until the deadline; none overlaps past it; and an endpoint that goes on counts as responsive.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -143,8 +143,11 @@
             progress: Progress::New,
             patience: Duration::from_millis(patience_ms),
         };
-        let opened = match waiting.run(attempt.response).await {
-            Waited::Received(opened) => opened,
+        let opened = match waiting.run(attempt.response, is_final).await {
+            Waited::Received(opened, next) => {
+                replacement = next;
+                opened
+            }
             Waited::Replaced(attempt) => {
                 last_error = log_silence(gateway, &context, &handle);
                 replacement = Some(attempt);
@@ -172,6 +175,9 @@
             last_error = error;
             retry_state.ran += 1;
         }
+        if replacement.is_some() {
+            continue;
+        }
         let may_have_run = retry_state.ran > 0;
         if retry_state.ran >= context.route().max_attempts
             || (may_have_run && context.route().retry == RetryPolicy::Never)
@@ -182,6 +188,11 @@
     server_error.ok_or_else(|| final_error(gateway, &context, &retry_state, last_error))
 }
 
+/// Returns whether no other endpoint needs to be tried after this response.
+fn is_final(opened: &Result<OpenResponse, AttemptError>) -> bool {
+    opened.as_ref().is_ok_and(|it| !it.head.status.is_server_error())
+}
+
 /// Starts an attempt at the next endpoint; returns `None` if there is none.
 ///
 /// # Errors
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -122,6 +122,15 @@
         self.endpoint.borrow().state == EndpointState::Ready && self.health.borrow().is_up()
     }
 
+    /// Records that the endpoint has sent something after it was silent.
+    pub(crate) fn mark_responsive(&self) {
+        let mut health = self.health.borrow_mut();
+        if !health.is_up() {
+            spdlog::info!("health: endpoint={} up=true cause=responded", self.id());
+        }
+        health.mark_reachable();
+    }
+
     /// Returns whether the endpoint is believed to be reachable.
     pub(crate) fn is_reachable(&self) -> bool {
         self.health.borrow().is_up()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
 use mimosaledge_policy::{
     RetryPolicy, admission::Progress, events::EventSplitter, health::Outcome,
 };
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     attempts::{self, Attempt, AttemptError, OpenResponse},
@@ -25,7 +25,7 @@
     pool::{self, Connection},
     request::RequestContext,
     selection::{self, RetryState, Selection},
-    silence::{Waited, Waiting},
+    silence::{self, Waited, Waiting},
 };
 
 /// Minimum time without data after which the endpoint of a resumable stream counts as
@@ -136,8 +136,8 @@
         let mut out = Vec::new();
         loop {
             let waiting_since = self.gateway.now();
-            let interruption = match self.wait_for_frame().await {
-                Waited::Received(Some(Ok(frame))) => {
+            let (interruption, replacement) = match self.wait_for_frame().await {
+                Waited::Received(Some(Ok(frame)), _) => {
                     self.record_gap(waiting_since);
                     let Ok(data) = frame.into_data() else { continue };
                     match self.splitter.push(&data, &mut out) {
@@ -146,17 +146,17 @@
                             self.chunks += 1;
                             return Some(Ok(Bytes::from(out)));
                         }
-                        Err(_) => Interruption::InvalidEvent,
+                        Err(_) => (Interruption::InvalidEvent, None),
                     }
                 }
-                Waited::Received(None) if self.splitter.is_at_boundary() => {
+                Waited::Received(None, _) if self.splitter.is_at_boundary() => {
                     self.finish();
                     return None;
                 }
-                Waited::Received(None) => Interruption::EndedInsideEvent,
-                Waited::Received(Some(Err(err))) => {
+                Waited::Received(None, next) => (Interruption::EndedInsideEvent, next),
+                Waited::Received(Some(Err(err)), next) => {
                     self.log_broken_connection(&err);
-                    Interruption::ConnectionBroken
+                    (Interruption::ConnectionBroken, next)
                 }
                 Waited::Replaced(attempt) => {
                     self.log_silence();
@@ -171,7 +171,7 @@
                 }
             };
             self.record_failure();
-            if !self.resume(interruption, None).await {
+            if !self.resume(interruption, replacement).await {
                 return Some(Err(self.abort(interruption)));
             }
         }
@@ -180,6 +180,7 @@
     /// Waits for the next data, and gives up a silent endpoint for another one.
     async fn wait_for_frame(&mut self) -> Waited<Option<hyper::Result<Frame<Bytes>>>> {
         let patience_ms = self.gap_timeout_ms(self.gateway.now());
+        let at_boundary = self.splitter.is_at_boundary();
         let waiting = Waiting {
             gateway: &self.gateway,
             context: &self.context,
@@ -189,7 +190,11 @@
             progress: Progress::Started,
             patience: Duration::from_millis(patience_ms),
         };
-        waiting.run(self.upstream.body.frame()).await
+        let is_success = |frame: &Option<hyper::Result<_>>| match frame {
+            Some(frame) => frame.is_ok(),
+            None => at_boundary,
+        };
+        waiting.run(self.upstream.body.frame(), is_success).await
     }
 
     /// Returns the time without data after which the endpoint counts as silent, in
@@ -239,7 +244,14 @@
         }
         self.splitter.restart();
         let last_id = self.splitter.last_id();
-        while let Some(attempt) = replacement.take().or_else(|| self.start_next()) {
+        loop {
+            let Some(attempt) = replacement.take().or_else(|| self.start_next()) else {
+                if interruption == Interruption::Silent && self.may_search_again() {
+                    sleep(silence::SEARCH_INTERVAL).await;
+                    continue;
+                }
+                return false;
+            };
             let remaining_ms = self.context.remaining_ms(self.gateway.now());
             let opened = timeout(Duration::from_millis(remaining_ms), attempt.response).await;
             match opened {
@@ -264,7 +276,13 @@
                 }
             }
         }
-        false
+    }
+
+    /// Returns whether an endpoint may still be found to resume the stream.
+    fn may_search_again(&self) -> bool {
+        self.retry_state.ran < self.context.route().max_attempts
+            && self.retry_state.sent < selection::MAX_SENDS
+            && self.context.remaining_ms(self.gateway.now()) >= selection::MIN_REMAINING_MS
     }
 
     /// Starts an attempt to resume the stream at another endpoint, if the route and the
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -20,7 +20,7 @@
 pub(crate) const MIN_REMAINING_MS: u64 = 15;
 /// Maximum number of endpoints that one request is sent to, including those
 /// that refuse it.
-const MAX_SENDS: u32 = 4;
+pub(crate) const MAX_SENDS: u32 = 4;
 /// Minimum response timeout before an idempotent request is retried at another
 /// endpoint, in milliseconds.
 const MIN_RESPONSE_TIMEOUT_MS: u64 = 350;
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -2,7 +2,8 @@
 //!
 //! An endpoint that sends nothing may have failed, or be sound and go on in a moment.
 //! Its response is therefore given up only for that of another endpoint: as long as
-//! there is none, the gateway waits until the deadline.
+//! there is none, the gateway waits until the deadline. An attempt that replaces the
+//! silent one overlaps with it, and the first response counts.
 
 use std::{future::Future, pin::pin, rc::Rc, time::Duration};
 
@@ -10,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    attempts::{Attempt, AttemptError},
+    attempts::{Attempt, AttemptError, OpenResponse},
     endpoint_handle::EndpointHandle,
     gateway::Gateway,
     request::RequestContext,
@@ -18,16 +19,16 @@
 };
 
 /// Interval between two searches for another endpoint.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which both a silent endpoint and its replacement are awaited.
-///
-/// Engines must not work on one request for longer than 400 ms at a time.
-const OVERLAP: Duration = Duration::from_millis(300);
+pub(crate) const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which both a silent engine and its replacement are awaited; engines must not
+/// work on one stream for longer than 400 ms at a time.
+const STREAM_OVERLAP: Duration = Duration::from_millis(300);
 
 /// Result of waiting for an endpoint.
 pub(crate) enum Waited<T> {
-    /// The endpoint has sent this.
-    Received(T),
+    /// The endpoint has sent this; if that is a failure, an attempt that was to replace
+    /// it may be in progress.
+    Received(T, Option<Attempt>),
     /// The endpoint is silent, and this attempt replaces the one sent to it.
     Replaced(Attempt),
     /// The endpoint was silent until the deadline.
@@ -51,37 +52,53 @@
 impl Waiting<'_> {
     /// Waits until the endpoint responds, until an attempt at another endpoint replaces
     /// this one, or until the deadline.
-    pub(crate) async fn run<T>(mut self, response: impl Future<Output = T>) -> Waited<T> {
+    ///
+    /// A success ends the attempt that overlaps with this one, a failure does not.
+    pub(crate) async fn run<T>(
+        mut self,
+        response: impl Future<Output = T>,
+        is_success: impl Fn(&T) -> bool,
+    ) -> Waited<T> {
         let mut response = pin!(response);
         if let Ok(received) = timeout(self.patience.min(self.remaining()), response.as_mut()).await
         {
-            return Waited::Received(received);
+            return Waited::Received(received, None);
         }
         self.record_silence();
         while !self.remaining().is_zero() {
             let Some(mut attempt) = self.start_replacement() else {
                 let wait = SEARCH_INTERVAL.min(self.remaining());
                 match timeout(wait, response.as_mut()).await {
-                    Ok(received) => return Waited::Received(received),
+                    Ok(received) => {
+                        self.handle.mark_responsive();
+                        return Waited::Received(received, None);
+                    }
                     Err(_) => continue,
                 }
             };
             tokio::select! {
                 biased;
                 received = response.as_mut() => {
+                    self.handle.mark_responsive();
+                    if !is_success(&received) {
+                        return Waited::Received(received, Some(attempt));
+                    }
                     // The replacement is cancelled, but may have run.
                     self.retry_state.ran += 1;
-                    return Waited::Received(received);
+                    return Waited::Received(received, None);
                 }
                 opened = attempt.response.as_mut() => match opened {
                     Err(AttemptError::NotRun) => {}
-                    Err(_) => self.retry_state.ran += 1,
-                    Ok(open) => {
+                    Ok(open) if self.is_usable(&open) => {
                         self.retry_state.ran += 1;
                         return Waited::Replaced(attempt.into_opened(open));
                     }
+                    Ok(_) | Err(_) => self.retry_state.ran += 1,
                 },
-                () = sleep(OVERLAP) => {
+                () = sleep(self.overlap()) => {
+                    if self.remaining().is_zero() {
+                        break;
+                    }
                     self.retry_state.ran += 1;
                     return Waited::Replaced(attempt);
                 }
@@ -90,6 +107,22 @@
         Waited::Expired
     }
 
+    /// Returns the time for which a replacement may overlap with the silent attempt.
+    fn overlap(&self) -> Duration {
+        match self.context.route().retry {
+            RetryPolicy::Always => self.remaining(),
+            RetryPolicy::Resume | RetryPolicy::Never => STREAM_OVERLAP.min(self.remaining()),
+        }
+    }
+
+    /// Returns whether the response of a replacement is better than none.
+    fn is_usable(&self, open: &OpenResponse) -> bool {
+        match self.progress {
+            Progress::New => !open.head.status.is_server_error(),
+            Progress::Started => open.head.status.is_success(),
+        }
+    }
+
     fn remaining(&self) -> Duration {
         Duration::from_millis(self.context.remaining_ms(self.gateway.now()))
     }
@@ -113,6 +146,9 @@
         if route.retry == RetryPolicy::Never || self.retry_state.ran + 1 >= route.max_attempts {
             return None;
         }
+        if self.remaining() < STREAM_OVERLAP {
+            return None;
+        }
         if self.progress == Progress::Started && !self.gateway.settings.policy.resume_streams {
             return None;
         }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -116,7 +116,8 @@
         }
     }
 
-    /// Records that a probe connected; the endpoint may be sent requests again.
+    /// Records that the endpoint accepted a connection or went on after a silence; it may
+    /// be sent requests again.
     pub fn mark_reachable(&mut self) {
         self.down = None;
         self.consecutive_timeouts = 0;
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -248,6 +248,16 @@
     assert!(!health.is_up());
 }
 
+#[test]
+fn endpoint_that_goes_on_after_a_silence_does_not_count_as_down() {
+    let mut health = Health::default();
+    for _ in 0..4 {
+        health.record(&PolicySettings::default(), Outcome::Silent, NOW);
+        health.mark_reachable();
+    }
+    assert!(health.is_up());
+}
+
 #[test]
 fn failures_decay_with_age() {
     let mut health = Health::default();
