Log requests that end before they have a response

A request whose client disconnects before the response left only its place line, and one that was cut by the exit of its gateway said that the client had disconnected. Now each request that is dropped has a line with the cause; `explain` tells the two apart.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -102,9 +102,12 @@
     let mut cause = match (field(&last.text, "refused"), field(&last.text, "outcome")) {
         (Some(code), _) => describe_refusal(code).to_owned(),
         (None, Some("complete")) => format!("the complete stream from {endpoint} was forwarded"),
-        (None, Some("cancelled")) => {
-            "the client disconnected before the end of the stream".to_owned()
-        }
+        (None, Some("cancelled")) => match quoted_field(&last.text, "cause") {
+            Some("gateway stopped") => {
+                "the gateway stopped before the end of the response".to_owned()
+            }
+            _ => "the client disconnected before the end of the response".to_owned(),
+        },
         (None, Some(_)) => format!(
             "the stream from {endpoint} was interrupted ({}) and not resumed",
             quoted_field(&last.text, "cause").unwrap_or("cause not logged")
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -14,6 +14,8 @@
     Leaving,
     /// No new connections; each open one closes after its request in flight.
     Closing,
+    /// The process exits, and requests still in flight are cut.
+    Exiting,
 }
 
 /// Tracks the shutdown phase and the open client connections.
@@ -35,6 +37,15 @@
         *self.phase.borrow() > Phase::Serving
     }
 
+    /// Returns why a request that is dropped now ends without a response.
+    pub(crate) fn cancel_cause(&self) -> &'static str {
+        if *self.phase.borrow() == Phase::Exiting {
+            "gateway stopped"
+        } else {
+            "client disconnected"
+        }
+    }
+
     /// Enters `phase` and notifies the tasks that wait for it.
     pub(crate) fn enter(&self, phase: Phase) {
         self.phase.send_replace(phase);
@@ -44,7 +55,7 @@
     pub(crate) async fn wait_for_closing(&self) {
         let mut phase = self.phase.subscribe();
         // This cannot fail, since `self` owns the sender.
-        let _ = phase.wait_for(|it| *it == Phase::Closing).await;
+        let _ = phase.wait_for(|it| *it >= Phase::Closing).await;
     }
 
     /// Counts a client connection as open until the guard is dropped.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -361,7 +361,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.finished {
-            self.log("cancelled", "client disconnected");
+            self.log("cancelled", self.gateway.drain.cancel_cause());
         }
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -59,6 +59,28 @@
     }
 }
 
+/// Logs a request that is dropped before it has a response.
+struct CancelLog {
+    gateway: Rc<Gateway>,
+    attempt_id: Name,
+    arrived: Millis,
+    finished: bool,
+}
+
+impl Drop for CancelLog {
+    fn drop(&mut self) {
+        if !self.finished {
+            spdlog::info!(
+                "request: id={} outcome=cancelled cause={:?} config={} elapsed_ms={}",
+                self.attempt_id,
+                self.gateway.drain.cancel_cause(),
+                self.gateway.config_version(),
+                self.gateway.now().since(self.arrived)
+            );
+        }
+    }
+}
+
 /// Returns the response to one request; every failure becomes an error
 /// response.
 pub(crate) async fn serve(
@@ -69,10 +91,17 @@
     let (head, body) = incoming.into_parts();
     let metadata = gateway.dialect.decode_request(&head);
     let attempt_id = metadata.attempt_id.clone();
+    let mut cancel_log = CancelLog {
+        gateway: gateway.clone(),
+        attempt_id: attempt_id.clone(),
+        arrived,
+        finished: false,
+    };
     let result = match prepare(gateway, head, metadata, body, arrived).await {
         Ok(context) => attempts::run(gateway, Rc::new(context)).await,
         Err(error) => Err(error),
     };
+    cancel_log.finished = true;
     let response = result.unwrap_or_else(|error| {
         spdlog::info!(
             "request: id={attempt_id} refused={:?} status={} retry_ms={:?} config={} elapsed_ms={}",
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -203,5 +203,6 @@
     while gateway.drain.connections() > 0 && Instant::now() < deadline {
         sleep(CONNECTIONS_CHECK_INTERVAL).await;
     }
+    gateway.drain.enter(Phase::Exiting);
     spdlog::info!("gateway: stopped connections={}", gateway.drain.connections());
 }
