Log builds of endpoints and the attempts whose streams clients resume

Endpoints now carry the version of their software, called build here to keep it apart from versions of configurations and weights; place and resume name it, and a request that resumes a stream logs the attempt that began it.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -120,6 +120,13 @@
     if quarantine && gateway.quarantine.borrow().is_refused(context.fingerprint, gateway.now()) {
         return Err(ErrorResponse::from_code(Code::Crasher));
     }
+    if let Some(last_event) = context.metadata.last_event {
+        spdlog::info!(
+            "stream: id={} resumes={} after_event={last_event}",
+            context.metadata.attempt_id,
+            context.metadata.resumed_attempt.as_deref().unwrap_or("unknown")
+        );
+    }
     let mut retry_state = RetryState::default();
     let mut server_error = None;
     let mut last_error = AttemptError::NotRun;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -29,6 +29,9 @@
     /// Number of the last event that the client received, if the request
     /// resumes a stream.
     pub last_event: Option<u64>,
+    /// Identifier of the client's attempt that received the first event of the stream
+    /// that the request resumes.
+    pub resumed_attempt: Option<Name>,
     /// The prompt's parts, in order.
     pub prompt: Vec<PromptPart>,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -258,9 +258,10 @@
                 Ok(Ok(open)) if open.head.status.is_success() => {
                     self.gateway.metrics.resumes.inc();
                     spdlog::info!(
-                        "resume: id={} endpoint={} after_event={last_id:?} cause={:?}",
+                        "resume: id={} endpoint={} build={} after_event={last_id:?} cause={:?}",
                         self.context.metadata.attempt_id,
                         attempt.handle.id(),
+                        attempt.handle.endpoint.borrow().build,
                         interruption.log_label()
                     );
                     self.upstream = Upstream::from_open(open);
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -185,11 +185,12 @@
     };
     let (handle, candidate) = &available[index];
     spdlog::info!(
-        "place: id={} route={} endpoint={} load={:.1} near={} failing={:.2} refusing={:.2} open={} \
+        "place: id={} route={} endpoint={} build={} load={:.1} near={} failing={:.2} refusing={:.2} open={} \
          known={} sent={} config={} list_age_ms={}",
         context.metadata.attempt_id,
         context.route().name,
         handle.id(),
+        handle.endpoint.borrow().build,
         candidate.load,
         candidate.is_local,
         candidate.failure_rate,
--- a/crates/policy/src/endpoint.rs
+++ b/crates/policy/src/endpoint.rs
@@ -26,6 +26,8 @@
     pub service: Name,
     /// The address that it listens on.
     pub address: SocketAddrV4,
+    /// Version of its software; a stream cannot move between endpoints of two builds.
+    pub build: Name,
     /// The data centre that it runs in.
     pub data_centre: Name,
     /// Number of requests that it runs concurrently.
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -272,8 +272,8 @@
 fn entry_digest(it: &Endpoint) -> u64 {
     let started_ms = it.started_ms.unwrap_or_default();
     let text = format!(
-        "{}\n{started_ms}\n{}\n{}\n{}\n{}\n{:?}",
-        it.id, it.service, it.address, it.data_centre, it.slots, it.state
+        "{}\n{started_ms}\n{}\n{}\n{}\n{}\n{}\n{:?}",
+        it.id, it.service, it.address, it.build, it.data_centre, it.slots, it.state
     );
     hash64(text.as_bytes())
 }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -23,6 +23,7 @@
         started_ms: None,
         service: "app".into(),
         address: "10.0.0.1:80".parse().unwrap(),
+        build: "v1".into(),
         data_centre: "hall-1".into(),
         slots: 8,
         state,
--- a/crates/policy/tests/restored_store.rs
+++ b/crates/policy/tests/restored_store.rs
@@ -19,6 +19,7 @@
         started_ms: Some(started_ms),
         service: "app".into(),
         address: "10.0.0.1:80".parse().unwrap(),
+        build: "v1".into(),
         data_centre: "hall-1".into(),
         slots: 8,
         state,
