Resume a stream only at the build that began it

Callers got streams that held events of two versions of an endpoint's software (ORDER): a gateway that resumed a broken or silent stream chose among all endpoints of the service.

Now the endpoint that sends the first event determines the build, and only endpoints of that build are candidates from then on; before the first event any is. If there is none, the stream ends, and its client can take it up.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -143,7 +143,7 @@
                     match self.splitter.push(&data, &mut out) {
                         Ok(()) if out.is_empty() => continue,
                         Ok(()) => {
-                            self.chunks += 1;
+                            self.record_chunk();
                             return Some(Ok(Bytes::from(out)));
                         }
                         Err(_) => (Interruption::InvalidEvent, None),
@@ -208,6 +208,14 @@
         remaining_ms.min((route.gap_goal_ms * GAP_GOAL_FACTOR).max(MIN_GAP_TIMEOUT_MS))
     }
 
+    /// Counts a chunk; the endpoint that sends the first one determines the build of the
+    /// stream.
+    fn record_chunk(&mut self) {
+        self.chunks += 1;
+        let endpoint = self.upstream.in_flight.handle().endpoint.borrow();
+        self.retry_state.build.get_or_insert_with(|| endpoint.build_key());
+    }
+
     /// Returns the time since the last data arrived, in milliseconds.
     fn silent_ms(&self) -> u64 {
         self.gateway.now().since(self.last_data)
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -40,6 +40,17 @@
     pub(crate) sent: u32,
     /// Number of attempts that may have run at an endpoint.
     pub(crate) ran: u32,
+    /// Key of the build that sent the first event of the stream; only endpoints of this
+    /// build can continue it.
+    pub(crate) build: Option<u64>,
+}
+
+impl RetryState {
+    /// Returns whether the request may be sent to this endpoint.
+    fn allows(&self, handle: &EndpointHandle) -> bool {
+        !self.tried_nodes.contains(&handle.node())
+            && self.build.is_none_or(|it| it == handle.endpoint.borrow().build_key())
+    }
 }
 
 /// Result of selecting the next endpoint.
@@ -146,11 +157,8 @@
     let table = gateway.endpoint_table.borrow();
     let loads = gateway.loads.borrow();
     let known = table.of_service(&context.service);
-    let untried: Vec<Rc<EndpointHandle>> = known
-        .iter()
-        .filter(|it| it.is_open() && !retry_state.tried_nodes.contains(&it.node()))
-        .cloned()
-        .collect();
+    let untried: Vec<Rc<EndpointHandle>> =
+        known.iter().filter(|it| it.is_open() && retry_state.allows(it)).cloned().collect();
     let candidates = endpoint_table::to_candidates(&untried, &gateway.settings, &loads, now);
     let mut available: Vec<(Rc<EndpointHandle>, Candidate)> =
         untried.into_iter().zip(candidates).collect();
--- a/crates/policy/src/endpoint.rs
+++ b/crates/policy/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use mimosaledge_core::Name;
+use mimosaledge_core::{Name, hash::hash64};
 use serde::{Deserialize, Serialize};
 
 /// Whether an endpoint accepts new requests.
@@ -35,3 +35,10 @@
     /// Whether it accepts new requests.
     pub state: EndpointState,
 }
+
+impl Endpoint {
+    /// Returns a key of the build of the service, the same at every gateway.
+    pub fn build_key(&self) -> u64 {
+        hash64(format!("{}\n{}", self.service, self.build).as_bytes())
+    }
+}
