Let a client resume its stream only at the build that began it

Such a request was placed like a new one; no gateway knew which build had begun the stream, least of all after the one that had served it was gone.

Now the first event of a resumable stream is recorded with its build at the gateway and, by one datagram each, at three others that rendezvous hashing selects. A gateway that a client asks to resume knows the build itself or asks the ten gateways that it ranks first for that attempt (2 ms, three times 60 ms at most); only endpoints of that build, also of another service of the route, may then continue the stream. A stream of unknown build goes on if its service has had one build in the last minute, and is rejected as not run if there were several (code 3011).

Evidence: five cases of builds.rs failed before and pass now, five new ones of policy hold the memory, its expiry and that of 1,000 streams over 600 stay known with 8, 59 and 340 gateways of which six in ten are killed.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -122,19 +122,21 @@
     }
     if let Some(last_event) = context.metadata.last_event {
         spdlog::info!(
-            "stream: id={} resumes={} after_event={last_event}",
+            "stream: id={} resumes={} after_event={last_event} build={:?}",
             context.metadata.attempt_id,
-            context.metadata.resumed_attempt.as_deref().unwrap_or("unknown")
+            context.metadata.resumed_attempt.as_deref().unwrap_or("unknown"),
+            context.build
         );
     }
-    let mut retry_state = RetryState::default();
+    let mut retry_state = RetryState { build: context.build, ..RetryState::default() };
+    let progress = if context.build.is_some() { Progress::Started } else { Progress::New };
     let mut server_error = None;
     let mut last_error = AttemptError::NotRun;
     let mut replacement = None;
     loop {
         let attempt = match replacement.take() {
             Some(attempt) => attempt,
-            None => match start_next(gateway, &context, &mut retry_state)? {
+            None => match start_next(gateway, &context, &mut retry_state, progress)? {
                 Some(attempt) => attempt,
                 None => break,
             },
@@ -147,7 +149,7 @@
             retry_state: &mut retry_state,
             handle: handle.clone(),
             last_event: context.metadata.last_event,
-            progress: Progress::New,
+            progress,
             patience: Duration::from_millis(patience_ms),
         };
         let opened = match waiting.run(attempt.response, is_final).await {
@@ -210,8 +212,9 @@
     gateway: &Rc<Gateway>,
     context: &Rc<RequestContext>,
     retry_state: &mut RetryState,
+    progress: Progress,
 ) -> Result<Option<Attempt>, ErrorResponse> {
-    match selection::next_endpoint(gateway, context, retry_state, Progress::New) {
+    match selection::next_endpoint(gateway, context, retry_state, progress) {
         Selection::Endpoint(handle) => {
             Ok(Some(Attempt::start(gateway, context, handle, context.metadata.last_event)))
         }
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -108,6 +108,7 @@
     fn update_endpoint_table(&self, endpoints: &Endpoints) {
         self.list_digest.set(endpoints.digest());
         self.endpoint_table.borrow_mut().update(endpoints.iter(), self.clock);
+        self.builds.borrow_mut().record(endpoints.iter(), self.now());
     }
 
     /// Records that the endpoint list was current `age_ms` ago; returns that
--- a/crates/gateway/src/error_response.rs
+++ b/crates/gateway/src/error_response.rs
@@ -35,6 +35,8 @@
     TooLate = 3010,
     /// The request is quarantined because endpoints crashed while running it.
     Crasher = 3004,
+    /// The request resumes a stream, and it is not known which build began it.
+    UnknownBuild = 3011,
     /// The request was sent to an endpoint and its outcome is unknown.
     Unknown = 4001,
     /// The request was sent to an endpoint and the response timed out.
@@ -78,6 +80,7 @@
             | Code::Overloaded
             | Code::Refused
             | Code::TooLate
+            | Code::UnknownBuild
             | Code::Crasher => 503,
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,8 +7,9 @@
 
 use mimosaledge_core::{Millis, quarantine::Quarantine};
 use mimosaledge_policy::{
-    FleetConfig, Position, config::RouteTable, endpoints::Endpoints, history::History,
-    prefix_cache::CachedPrefixes, retry_budget::RetryBudget,
+    FleetConfig, Position, builds::Builds, config::RouteTable, endpoints::Endpoints,
+    history::History, prefix_cache::CachedPrefixes, retry_budget::RetryBudget,
+    stream_origins::StreamOrigins,
 };
 use tokio::{
     net::UdpSocket,
@@ -59,6 +60,12 @@
     /// identified by the node number of the endpoint's incarnation.
     pub(crate) quarantine: RefCell<Quarantine<u64>>,
     pub(crate) cached_prefixes: RefCell<CachedPrefixes>,
+    /// Builds that endpoints have had lately.
+    pub(crate) builds: RefCell<Builds>,
+    /// Builds that began the latest streams, here and at some other gateways.
+    pub(crate) stream_origins: RefCell<StreamOrigins>,
+    /// Notified when another gateway has sent the origin of a stream.
+    pub(crate) origin_received: Notify,
     pub(crate) loads: Rc<RefCell<Loads>>,
     pub(crate) peers: RefCell<Peers>,
     /// When the configuration was last known to be current.
@@ -108,6 +115,9 @@
             retry_budget: RefCell::new(RetryBudget::new(limit)),
             quarantine: RefCell::new(Quarantine::with_retention(CRASH_RETENTION_MS)),
             cached_prefixes: RefCell::default(),
+            builds: RefCell::default(),
+            stream_origins: RefCell::default(),
+            origin_received: Notify::new(),
             loads: Rc::default(),
             peers: RefCell::new(peers),
             config_confirmed: Cell::new(Millis(0)),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -21,7 +21,7 @@
     gateway::Gateway,
     loads::{LoadSample, Outcomes},
     messages::{Heartbeat, Message},
-    sync,
+    origins, sync,
 };
 
 /// Maximum number of other gateways named in a heartbeat of a small fleet.
@@ -87,6 +87,23 @@
         // Lost datagrams are not resent; a later heartbeat supersedes them.
         let _ = socket.send_to(bytes, (*address, port)).await;
     }
+    count_sent(gateway, bytes, to);
+}
+
+/// Sends a message without waiting for space in the socket's buffer.
+pub(crate) fn send_now(gateway: &Gateway, message: &Message, to: &[Ipv4Addr]) {
+    let Some(socket) = gateway.peer_socket.get() else { return };
+    let Some(bytes) = encode(message) else { return };
+    let port = gateway.settings.listen.peers;
+    for address in to {
+        if let Err(err) = socket.try_send_to(&bytes, (*address, port).into()) {
+            spdlog::warn!("peer: datagram not sent, address={address} cause={err}");
+        }
+    }
+    count_sent(gateway, &bytes, to);
+}
+
+fn count_sent(gateway: &Gateway, bytes: &[u8], to: &[Ipv4Addr]) {
     let sent = (bytes.len() + DATAGRAM_HEADER_BYTES) * to.len();
     gateway.metrics.peer_bytes.with_label_values(&["sent"]).inc_by(sent as u64);
 }
@@ -172,6 +189,8 @@
             gateway.peers.borrow_mut().record_heartbeat(from, heartbeat, now);
             summary
         }
+        Message::StreamOrigin(origin) => return origins::record_received(gateway, origin),
+        Message::OriginQuery(attempt) => return origins::answer_query(gateway, from, attempt),
     };
     gateway.apply_summary(&summary);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `relay` | forwards a stream and resumes it at another endpoint |
 //! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
+//! | `origins` | finds the build that began a stream that a client resumes |
 //! | `follow`, `cursor` | read the configuration and lists from the store |
 //! | `gossip`, `messages`, `peers` | exchange heartbeats with the other gateways |
 //! | `sync` | fetches missing state from another gateway |
@@ -42,6 +43,7 @@
 mod log_sink;
 mod messages;
 mod metrics;
+mod origins;
 mod peers;
 mod pool;
 mod relay;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -2,7 +2,9 @@
 
 use std::net::Ipv4Addr;
 
-use mimosaledge_policy::{Position, endpoints::Change, membership::FailureReport};
+use mimosaledge_policy::{
+    Position, endpoints::Change, membership::FailureReport, stream_origins::StreamOrigin,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::loads::{LoadSample, Outcomes, RequestCount};
@@ -72,6 +74,10 @@
     Heartbeat(Heartbeat),
     /// Sent by a gateway that has just read changes of the endpoint list.
     Changes(StateSummary, ChangeBatch),
+    /// Sent by a gateway that has begun a stream, and in response to a query.
+    StreamOrigin(StreamOrigin),
+    /// Asks for the origin of the stream that an attempt, given by its hash, began.
+    OriginQuery(u64),
 }
 
 /// The periodic report of one gateway.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,7 +3,10 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use mimosaledge_core::{Millis, hash::hash64};
-use mimosaledge_policy::membership::{FailureReport, Membership, ring_position};
+use mimosaledge_policy::{
+    membership::{FailureReport, Membership, ring_position},
+    stream_origins,
+};
 
 use crate::{
     loads::{Loads, Outcomes, RequestCount},
@@ -83,6 +86,11 @@
         self.membership.possibly_alive(now).collect()
     }
 
+    /// Returns the `count` other gateways that remember the stream that `attempt` began.
+    pub(crate) fn stream_holders(&self, attempt: u64, count: usize, now: Millis) -> Vec<Ipv4Addr> {
+        stream_origins::holders(attempt, self.membership.possibly_alive(now), count)
+    }
+
     /// Returns whether the fleet is too large to send all gateways a heartbeat
     /// in each round.
     pub(crate) fn is_large(&self) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,6 +22,7 @@
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
+    origins,
     pool::{self, Connection},
     request::RequestContext,
     selection::{self, RetryState, Selection},
@@ -212,8 +213,14 @@
     /// stream.
     fn record_chunk(&mut self) {
         self.chunks += 1;
-        let endpoint = self.upstream.in_flight.handle().endpoint.borrow();
-        self.retry_state.build.get_or_insert_with(|| endpoint.build_key());
+        if self.retry_state.build.is_some() {
+            return;
+        }
+        let build = self.upstream.in_flight.handle().endpoint.borrow().build_key();
+        self.retry_state.build = Some(build);
+        if self.context.route().retry == RetryPolicy::Resume {
+            origins::record_begun(&self.gateway, &self.context.metadata.attempt_id, build);
+        }
     }
 
     /// Returns the time since the last data arrived, in milliseconds.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,7 +11,7 @@
 };
 use mimosaledge_net::server::{ReplyBody, read_body};
 use mimosaledge_policy::{
-    Route,
+    RetryPolicy, Route,
     config::{AuthorizedRequest, Denial},
 };
 use tokio::time::timeout;
@@ -21,6 +21,7 @@
     dialect::{PromptPart, RequestMetadata},
     error_response::{Code, ErrorResponse},
     gateway::Gateway,
+    origins,
 };
 
 /// Retry delay for clients while the gateway has no configuration, an outdated
@@ -36,6 +37,8 @@
     pub(crate) authorized: AuthorizedRequest,
     /// The service, selected from those of the route.
     pub(crate) service: Name,
+    /// Key of the build that began the stream, if the request resumes one.
+    pub(crate) build: Option<u64>,
     /// Hash that identifies the prompt prefix that engines may have cached, if
     /// the route is sticky and the request has a prompt.
     pub(crate) prefix: Option<u64>,
@@ -145,6 +148,14 @@
     let Some(service) = authorized.route.select_service(key).cloned() else {
         return Err(ErrorResponse::with_retry_after(Code::NoEndpoint, CONFIG_RETRY_MS));
     };
+    let route = &authorized.route;
+    let (service, build) = if route.retry == RetryPolicy::Resume && metadata.last_event.is_some() {
+        let resumed = metadata.resumed_attempt.as_deref();
+        let target = origins::find_target(gateway, route, service, resumed).await?;
+        (target.service, Some(target.build))
+    } else {
+        (service, None)
+    };
     let fingerprint = fingerprint(&head, &metadata, &body);
     let deadline = arrived + timeout_ms;
     Ok(RequestContext {
@@ -153,6 +164,7 @@
         body,
         authorized,
         service,
+        build,
         prefix,
         fingerprint,
         arrived,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`events`] | splitting of event streams |
 
 pub mod admission;
+pub mod builds;
 pub mod config;
 mod departures;
 pub mod endpoint;
@@ -35,6 +36,7 @@
 pub mod route;
 pub mod service;
 pub mod settings;
+pub mod stream_origins;
 
 pub use crate::{
     config::FleetConfig,
