--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,29 +1,22 @@
 //! Sends a request to endpoints, one at a time, until one responds.
 
-use std::{future::Future, pin::Pin, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, Version, body::Incoming, http::response};
+use http_body_util::{BodyExt, Limited};
+use hyper::Response;
 use mimosaledge_net::server::{ReplyBody, full_body};
 use mimosaledge_policy::{
     RetryPolicy,
     admission::{self, Progress},
     health::Outcome,
 };
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::time::timeout;
 
 use crate::{
-    dialect::{ForwardMetadata, ResponseMetadata},
-    endpoint_handle::EndpointHandle,
+    attempt::{Attempt, AttemptError, OpenResponse, check_for_crash, log_failure, log_silence},
     error_response::{Code, ErrorResponse},
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
-    loads::InFlight,
-    pool::{Connection, SendError},
     relay,
     request::RequestContext,
     selection::{self, MIN_REMAINING_MS, RetryState, Selection},
@@ -39,68 +32,6 @@
 /// Maximum size of a response that is buffered before it is forwarded, in
 /// bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
-/// Delay between the loss of a connection and the connection attempt that shows
-/// whether its endpoint crashed.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
-
-/// A response whose head has been received and whose body is still to be read.
-#[derive(Debug)]
-pub(crate) struct OpenResponse {
-    pub(crate) in_flight: InFlight,
-    pub(crate) connection: Connection,
-    pub(crate) head: response::Parts,
-    pub(crate) metadata: ResponseMetadata,
-    pub(crate) body: Incoming,
-}
-
-/// A request that was sent to one endpoint; dropping it cancels the request there.
-pub(crate) struct Attempt {
-    pub(crate) handle: Rc<EndpointHandle>,
-    /// Completes when the response head has been received.
-    pub(crate) response: Pin<Box<dyn Future<Output = Result<OpenResponse, AttemptError>>>>,
-}
-
-impl Attempt {
-    /// Sends a request to `handle` once the response is polled; a stream starts after
-    /// `last_event`.
-    pub(crate) fn start(
-        gateway: &Rc<Gateway>,
-        context: &Rc<RequestContext>,
-        handle: Rc<EndpointHandle>,
-        last_event: Option<u64>,
-    ) -> Attempt {
-        let (gateway, context, receiver) = (gateway.clone(), context.clone(), handle.clone());
-        let response = async move { send_once(&gateway, &context, &receiver, last_event).await };
-        Attempt { handle, response: Box::pin(response) }
-    }
-
-    /// Returns the attempt with its response, after that has been received.
-    pub(crate) fn into_opened(self, open: OpenResponse) -> Attempt {
-        Attempt { handle: self.handle, response: Box::pin(async move { Ok(open) }) }
-    }
-}
-
-/// Why an attempt yielded no response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum AttemptError {
-    /// The request did not run and will not.
-    NotRun,
-    /// The request may have run.
-    Unknown,
-    /// The request may have run; the response timed out.
-    Silent,
-}
-
-impl AttemptError {
-    fn metric_label(self) -> &'static str {
-        match self {
-            AttemptError::NotRun => "not_run",
-            AttemptError::Unknown => "unknown",
-            AttemptError::Silent => "silent",
-        }
-    }
-}
-
 /// Sends a request to endpoints until one responds or no attempt is left.
 ///
 /// Attempts that certainly did not run do not count towards the route's maximum
@@ -230,99 +161,6 @@
     }
 }
 
-/// Sends a request to one endpoint and waits for the response head.
-///
-/// # Errors
-///
-/// Returns an error that states whether the request may have run.
-async fn send_once(
-    gateway: &Rc<Gateway>,
-    context: &Rc<RequestContext>,
-    handle: &Rc<EndpointHandle>,
-    last_event: Option<u64>,
-) -> Result<OpenResponse, AttemptError> {
-    let in_flight = InFlight::new(handle.clone(), context.prefix, gateway.loads.clone());
-    let request = build_request(gateway, context, handle, last_event);
-    let sent = handle.pool.send(request).await;
-    let now = gateway.now();
-    let (response, mut connection) = match sent {
-        Ok(sent) => sent,
-        Err(SendError::Unreachable) => {
-            handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
-            return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "unreachable"));
-        }
-        Err(SendError::ConnectionLost { idle_ms, io }) => {
-            handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
-            check_for_crash(gateway, context, handle);
-            let cause = format!("connection broken, idle_ms={idle_ms:?}, io={io:?}");
-            return Err(log_failure(gateway, context, handle, AttemptError::Unknown, &cause));
-        }
-    };
-    let (head, body) = response.into_parts();
-    let metadata = gateway.dialect.decode_response(&head);
-    if let Some(load) = metadata.load {
-        handle.record_load(load, now);
-    }
-    connection.set_idle_timeout(metadata.idle_timeout_ms);
-    if metadata.attempt_id.as_ref().is_some_and(|it| *it != context.metadata.attempt_id) {
-        handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
-        return Err(log_failure(
-            gateway,
-            context,
-            handle,
-            AttemptError::Unknown,
-            "wrong attempt id",
-        ));
-    }
-    if metadata.misdirected {
-        gateway.remove_endpoint(&handle.id());
-        return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "wrong endpoint"));
-    }
-    if metadata.not_run {
-        handle.record_outcome(&gateway.settings.policy, Outcome::Refused, now);
-        return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "refused"));
-    }
-    if head.status.is_success() && !metadata.sealed {
-        handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
-        return Err(log_failure(gateway, context, handle, AttemptError::Unknown, "missing seal"));
-    }
-    Ok(OpenResponse { in_flight, connection, head, metadata, body })
-}
-
-fn build_request(
-    gateway: &Gateway,
-    context: &RequestContext,
-    handle: &EndpointHandle,
-    last_event: Option<u64>,
-) -> Request<Full<Bytes>> {
-    let fetch_from = selection::fetch_source(gateway, context, handle);
-    let metadata = ForwardMetadata {
-        deadline_ms: context.remaining_ms(gateway.now()),
-        endpoint: handle.id(),
-        workspace: context.authorized.workspace.clone(),
-        priority: context.prefix.is_some().then_some(context.authorized.priority),
-        last_event,
-        fetch_from,
-    };
-    let mut headers = gateway.dialect.encode_forward(&context.head.headers, &metadata);
-    strip_hop_by_hop_headers(&mut headers);
-    let mut request = Request::new(Full::new(context.body.clone()));
-    *request.method_mut() = context.head.method.clone();
-    *request.uri_mut() = origin_form(&context.head.uri);
-    *request.version_mut() = Version::HTTP_11;
-    *request.headers_mut() = headers;
-    request
-}
-
-/// Returns the path and query of a URI, which is the form of request target
-/// that origin servers expect.
-fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
-    match uri.path_and_query() {
-        Some(path) => hyper::Uri::from(path.clone()),
-        None => uri.clone(),
-    }
-}
-
 /// Buffers the response body and returns the connection to the pool.
 ///
 /// # Errors
@@ -413,55 +251,3 @@
         mimosaledge_core::hash::hash64(context.metadata.attempt_id.as_bytes()) % MIN_RETRY_AFTER_MS;
     ErrorResponse::with_retry_after(code, MIN_RETRY_AFTER_MS + jitter_ms)
 }
-
-/// Checks, shortly after a connection was lost, whether its endpoint crashed: a
-/// live endpoint accepts a new connection.
-///
-/// After a crash, the request becomes a suspect in the quarantine, and the
-/// crash is reported to other gateways.
-pub(crate) fn check_for_crash(
-    gateway: &Rc<Gateway>,
-    context: &Rc<RequestContext>,
-    handle: &Rc<EndpointHandle>,
-) {
-    let (gateway, handle, fingerprint) = (gateway.clone(), handle.clone(), context.fingerprint);
-    spawn_local(async move {
-        sleep(CRASH_CHECK_DELAY).await;
-        if handle.pool.try_connect().await {
-            return;
-        }
-        let now = gateway.now();
-        handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
-        if gateway.quarantine.borrow_mut().record_crash(fingerprint, handle.node(), now) {
-            spdlog::info!("crasher: fingerprint={fingerprint:016x} endpoint={}", handle.id());
-            gateway.peers.borrow_mut().report_crash(fingerprint, handle.node(), now);
-        }
-    });
-}
-
-/// Logs an attempt that was given up since its endpoint was silent.
-pub(crate) fn log_silence(
-    gateway: &Gateway,
-    context: &RequestContext,
-    handle: &EndpointHandle,
-) -> AttemptError {
-    log_failure(gateway, context, handle, AttemptError::Silent, "timed out")
-}
-
-/// Logs a failed attempt and returns its error.
-fn log_failure(
-    gateway: &Gateway,
-    context: &RequestContext,
-    handle: &EndpointHandle,
-    error: AttemptError,
-    cause: &str,
-) -> AttemptError {
-    gateway.metrics.failed_attempts.with_label_values(&[error.metric_label()]).inc();
-    spdlog::info!(
-        "attempt: id={} endpoint={} outcome={error:?} cause={cause:?} elapsed_ms={}",
-        context.metadata.attempt_id,
-        handle.id(),
-        gateway.now().since(context.arrived)
-    );
-    error
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | `listener` | accepts client connections |
 //! | `request` | checks a request and selects its service |
+//! | `attempt` | one attempt: sends a request to one endpoint |
 //! | `attempts` | sends a request to endpoints, one after the other |
 //! | `selection` | selects the endpoint for each attempt, or none under overload |
 //! | `silence` | gives up a silent endpoint only for another one |
@@ -22,6 +23,7 @@
 //! | `endpoint_list` | applies changes of the endpoint list to that state |
 //! | `run`, `drain` | startup, maintenance and graceful shutdown |
 
+mod attempt;
 mod attempts;
 mod clock;
 mod cursor;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    attempts::{self, Attempt, AttemptError, OpenResponse},
+    attempt::{self, Attempt, AttemptError, OpenResponse},
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
@@ -240,7 +240,7 @@
         let handle = self.upstream.in_flight.handle();
         let policy = &self.gateway.settings.policy;
         handle.record_outcome(policy, Outcome::Failed, self.gateway.now());
-        attempts::check_for_crash(&self.gateway, &self.context, handle);
+        attempt::check_for_crash(&self.gateway, &self.context, handle);
         self.retry_state.ran += 1;
     }
 
@@ -288,7 +288,7 @@
                     self.retry_state.ran += 1;
                     let policy = &self.gateway.settings.policy;
                     attempt.handle.record_outcome(policy, Outcome::Silent, self.gateway.now());
-                    attempts::log_silence(&self.gateway, &self.context, &attempt.handle);
+                    attempt::log_silence(&self.gateway, &self.context, &attempt.handle);
                 }
             }
         }
@@ -343,7 +343,7 @@
 
     fn log_silence(&self) {
         let handle = self.upstream.in_flight.handle();
-        attempts::log_silence(&self.gateway, &self.context, handle);
+        attempt::log_silence(&self.gateway, &self.context, handle);
     }
 
     fn log_broken_connection(&self, err: &hyper::Error) {
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    attempts::{Attempt, AttemptError, OpenResponse},
+    attempt::{Attempt, AttemptError, OpenResponse},
     endpoint_handle::EndpointHandle,
     gateway::Gateway,
     request::RequestContext,
