Do not trust a stale list for the build of a resumed stream

A stream of unknown origin goes on if its service has had one build lately. The list of a gateway that was cut off, or has just woken, may lack the build that began the stream: it would go on at another one (ORDER holds for all gateways, in touch or not). Now the list must have been confirmed in the last 2.5 s, or be as new as that of every other live gateway, as in an outage of the store; otherwise the request is rejected as not run.

--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -11,12 +11,27 @@
     messages::{ChangeBatch, StateSummary},
 };
 
+/// Time without confirmation by the store or a peer after which the endpoint list may lack
+/// endpoints that others know, in milliseconds.
+const LIST_STALE_MS: u64 = 2_500;
+
 impl Gateway {
     /// Returns whether the last read of the endpoint list succeeded.
     pub(crate) fn is_list_available(&self) -> bool {
         !self.endpoints.borrow().is_list_unavailable()
     }
 
+    /// Returns whether the endpoint list was read lately, or is as new as that of every
+    /// other live gateway.
+    pub(crate) fn is_list_current(&self) -> bool {
+        if self.list_age_ms() < LIST_STALE_MS {
+            return true;
+        }
+        let peers = self.peers.borrow();
+        peers.count_alive(self.now()) > 0
+            && peers.find_newer(self.state_summary(), true, self.now()).is_none()
+    }
+
     /// Returns whether this gateway reads the endpoint list from the store,
     /// rather than receiving it from its peers.
     pub(crate) fn is_list_reader(&self) -> bool {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -42,7 +42,7 @@
 /// # Errors
 ///
 /// Returns an error response if the origin of the stream is unknown and the service has
-/// had several builds lately.
+/// had several builds lately, or may have another one that is not listed here yet.
 pub(crate) async fn find_target(
     gateway: &Gateway,
     route: &Route,
@@ -50,6 +50,7 @@
     resumed: Option<&str>,
 ) -> Result<ResumeTarget, ErrorResponse> {
     let only_build = gateway.builds.borrow().only_build(&service, gateway.now());
+    let only_build = only_build.filter(|_| gateway.is_list_current());
     let max_queries = if only_build.is_some() { 1 } else { MAX_QUERIES };
     let origin = match resumed {
         Some(attempt_id) => find_origin(gateway, hash64(attempt_id.as_bytes()), max_queries).await,
