Do not go back to an earlier start of an endpoint after a restore

A store that is restored from an older copy may list an endpoint as it was before it started again under its identifier. Now the known entry stays if it started later; the log overrules it once the endpoint registers.

older_incarnation_of_a_copy_does_not_replace_the_known_one failed before and passes, with the nine other cases of restored_store.rs.

--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -139,17 +139,17 @@
         now.since(since) >= RECOVERY_GRACE_MS
     }
 
-    /// Corrects a list from a restored store by the drains and removals that are
-    /// known here: the copy that it was restored from may be older.
+    /// Corrects a list from a restored store by the drains, removals and restarts that
+    /// are known here: the copy that it was restored from may be older.
     fn keep_departures(&self, entries: Vec<Endpoint>, now: Millis) -> Vec<Endpoint> {
         let mut kept: Vec<Endpoint> =
             entries.into_iter().filter(|it| !self.departures.contains(it, now)).collect();
         for entry in &mut kept {
-            let known = self.entries.get(&entry.id);
-            let is_draining = known.is_some_and(|it| {
-                it.state == EndpointState::Draining && it.started_ms == entry.started_ms
-            });
-            if is_draining {
+            let Some(known) = self.entries.get(&entry.id) else { continue };
+            if known.started_ms > entry.started_ms {
+                entry.clone_from(known);
+            } else if known.started_ms == entry.started_ms && known.state == EndpointState::Draining
+            {
                 entry.state = EndpointState::Draining;
             }
         }
--- a/crates/policy/tests/restored_store.rs
+++ b/crates/policy/tests/restored_store.rs
@@ -142,3 +142,14 @@
     list.advance_to(position(0, 5_000));
     assert_eq!(list.position(), position(1, 40));
 }
+
+#[test]
+fn older_incarnation_of_a_copy_does_not_replace_the_known_one() {
+    let mut list = list();
+    list.apply(Change::Upsert(endpoint("a", EndpointState::Ready, 2)), NOW);
+    list.restore(copy(), NOW);
+    assert_eq!(list.get("a").and_then(|it| it.started_ms), Some(2));
+    // The endpoint has started again and registers.
+    list.apply(Change::Upsert(endpoint("a", EndpointState::Ready, 3)), NOW);
+    assert_eq!(list.get("a").and_then(|it| it.started_ms), Some(3));
+}
