Make a resumed stream traceable from its log line

A rejected resume logged neither the attempt that it named nor what was known. Now one line names the attempt, whether its origin was recorded, the service and build chosen, whether and how old the list was, and how long the query took; changes of the list name build and start of an endpoint, and the build is its name, not a hash. Datagrams about streams no longer look for a newer peer, and the delay of a rejection has jitter.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -51,14 +51,6 @@
     if quarantine && gateway.quarantine.borrow().is_refused(context.fingerprint, gateway.now()) {
         return Err(ErrorResponse::from_code(Code::Crasher));
     }
-    if let Some(last_event) = context.metadata.last_event {
-        spdlog::info!(
-            "stream: id={} resumes={} after_event={last_event} build={:?}",
-            context.metadata.attempt_id,
-            context.metadata.resumed_attempt.as_deref().unwrap_or("unknown"),
-            context.build
-        );
-    }
     let mut retry_state = RetryState { build: context.build, ..RetryState::default() };
     let progress = if context.build.is_some() { Progress::Started } else { Progress::New };
     let mut server_error = None;
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -179,8 +179,8 @@
     match change {
         Change::Upsert(it) => {
             format!(
-                "id={} state={:?} service={} address={}",
-                it.id, it.state, it.service, it.address
+                "id={} state={:?} service={} address={} build={} started_ms={:?}",
+                it.id, it.state, it.service, it.address, it.build, it.started_ms
             )
         }
         Change::Remove(id) => format!("id={id} gone=true"),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -155,7 +155,22 @@
         gateway.metrics.peer_bytes.with_label_values(&["received"]).inc_by(received);
         let SocketAddr::V4(from) = from else { continue };
         match postcard::from_bytes::<Message>(&buffer[..length]) {
-            Ok(message) => handle_message(&gateway, *from.ip(), message),
+            Ok(Message::StreamOrigin(origin)) => {
+                origins::record_received(&gateway, origin);
+                continue;
+            }
+            Ok(Message::OriginQuery(attempt)) => {
+                origins::answer_query(&gateway, *from.ip(), attempt);
+                continue;
+            }
+            Ok(Message::Heartbeat(heartbeat)) => {
+                handle_heartbeat(&gateway, *from.ip(), heartbeat);
+            }
+            Ok(Message::Changes(summary, batch)) => {
+                gateway.apply_batch(batch, &summary);
+                gateway.peers.borrow_mut().record_summary(*from.ip(), summary);
+                gateway.apply_summary(&summary);
+            }
             Err(_) => {
                 spdlog::warn!("peer: cannot decode datagram, address={from} bytes={length}");
                 continue;
@@ -165,32 +180,17 @@
     }
 }
 
-fn handle_message(gateway: &Gateway, from: Ipv4Addr, message: Message) {
+fn handle_heartbeat(gateway: &Gateway, from: Ipv4Addr, heartbeat: Heartbeat) {
     let now = gateway.now();
-    let summary = match message {
-        Message::Changes(summary, batch) => {
-            gateway.apply_batch(batch, &summary);
-            gateway.peers.borrow_mut().record_summary(from, summary);
-            summary
-        }
-        Message::Heartbeat(heartbeat) => {
-            for crash in &heartbeat.crashes {
-                gateway.quarantine.borrow_mut().record_crash(
-                    crash.fingerprint,
-                    crash.endpoint,
-                    now,
-                );
-            }
-            let table = gateway.endpoint_table.borrow();
-            for sample in &heartbeat.samples {
-                table.apply_sample(sample, now);
-            }
-            let summary = heartbeat.summary;
-            gateway.peers.borrow_mut().record_heartbeat(from, heartbeat, now);
-            summary
-        }
-        Message::StreamOrigin(origin) => return origins::record_received(gateway, origin),
-        Message::OriginQuery(attempt) => return origins::answer_query(gateway, from, attempt),
-    };
+    for crash in &heartbeat.crashes {
+        gateway.quarantine.borrow_mut().record_crash(crash.fingerprint, crash.endpoint, now);
+    }
+    let table = gateway.endpoint_table.borrow();
+    for sample in &heartbeat.samples {
+        table.apply_sample(sample, now);
+    }
+    drop(table);
+    let summary = heartbeat.summary;
+    gateway.peers.borrow_mut().record_heartbeat(from, heartbeat, now);
     gateway.apply_summary(&summary);
 }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    dialect::RequestMetadata,
     error_response::{Code, ErrorResponse},
     gateway::Gateway,
     gossip,
@@ -24,9 +25,9 @@
 /// Number of times that a query is sent if the service has several builds; once if the
 /// only build is known besides.
 const MAX_QUERIES: u32 = 3;
-/// Delay after which a client may try again to resume a stream of unknown origin, in
-/// milliseconds.
-const RETRY_MS: u64 = 300;
+/// Minimum delay after which a client may try again to resume a stream of unknown origin,
+/// and range of the jitter that is added, in milliseconds.
+const RETRY_MS: u64 = 200;
 
 /// Where a stream can be resumed.
 pub(crate) struct ResumeTarget {
@@ -35,9 +36,8 @@
     pub(crate) build: u64,
 }
 
-/// Returns where a stream can be resumed that the attempt `resumed` began, if the client
-/// names it. The service of `route` that began it may be another than `service`, which
-/// new streams get.
+/// Returns where the stream that a client resumes can go on. The service of `route` that
+/// began it may be another than `service`, which new streams get.
 ///
 /// # Errors
 ///
@@ -47,24 +47,39 @@
     gateway: &Gateway,
     route: &Route,
     service: Name,
-    resumed: Option<&str>,
+    metadata: &RequestMetadata,
 ) -> Result<ResumeTarget, ErrorResponse> {
+    let started = gateway.now();
     let only_build = gateway.builds.borrow().only_build(&service, gateway.now());
-    let only_build = only_build.filter(|_| gateway.is_list_current());
+    let is_current = gateway.is_list_current();
+    let only_build = only_build.filter(|_| is_current);
     let max_queries = if only_build.is_some() { 1 } else { MAX_QUERIES };
-    let origin = match resumed {
+    let origin = match metadata.resumed_attempt.as_deref() {
         Some(attempt_id) => find_origin(gateway, hash64(attempt_id.as_bytes()), max_queries).await,
         None => None,
     };
-    if let Some(origin) = origin {
-        let builds = gateway.builds.borrow();
-        let mut services = route.targets.iter().map(|it| &it.service);
-        let began = services.find(|it| builds.contains(it, origin.build)).cloned();
-        return Ok(ResumeTarget { service: began.unwrap_or(service), build: origin.build });
-    }
-    match only_build {
+    let build = origin.map(|it| it.build).or(only_build);
+    let builds = gateway.builds.borrow();
+    let mut services = route.targets.iter().map(|it| &it.service);
+    let began = build.and_then(|key| services.find(|it| builds.name(it, key).is_some()));
+    let service = began.cloned().unwrap_or(service);
+    spdlog::info!(
+        "stream: id={} resumes={:?} after_event={:?} recorded={} service={service} build={:?} \
+         current={is_current} list_age_ms={} waited_ms={}",
+        metadata.attempt_id,
+        metadata.resumed_attempt.as_deref(),
+        metadata.last_event,
+        origin.is_some(),
+        build.and_then(|key| builds.name(&service, key)),
+        gateway.list_age_ms(),
+        gateway.now().since(started)
+    );
+    match build {
         Some(build) => Ok(ResumeTarget { service, build }),
-        None => Err(ErrorResponse::with_retry_after(Code::UnknownBuild, RETRY_MS)),
+        None => {
+            let jitter_ms = hash64(metadata.attempt_id.as_bytes()) % RETRY_MS;
+            Err(ErrorResponse::with_retry_after(Code::UnknownBuild, RETRY_MS + jitter_ms))
+        }
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -150,8 +150,7 @@
     };
     let route = &authorized.route;
     let (service, build) = if route.retry == RetryPolicy::Resume && metadata.last_event.is_some() {
-        let resumed = metadata.resumed_attempt.as_deref();
-        let target = origins::find_target(gateway, route, service, resumed).await?;
+        let target = origins::find_target(gateway, route, service, &metadata).await?;
         (target.service, Some(target.build))
     } else {
         (service, None)
--- a/crates/policy/tests/stream_origins.rs
+++ b/crates/policy/tests/stream_origins.rs
@@ -73,8 +73,8 @@
     let builds = builds(&listed);
     assert_eq!(builds.only_build("a", NOW + 10 * MINUTE_MS), None);
     assert_eq!(builds.only_build("b", NOW), Some(listed[2].build_key()));
-    assert!(builds.contains("a", listed[1].build_key()));
-    assert!(!builds.contains("b", listed[1].build_key()));
+    assert_eq!(builds.name("a", listed[1].build_key()).map(|it| &**it), Some("v2"));
+    assert_eq!(builds.name("b", listed[1].build_key()), None);
 }
 
 /// Six of ten gateways are killed at once; a survivor asks the ten that it prefers.
