Handle every interruption of a stream in one place

A silent endpoint that is replaced took a way of its own through next_chunk. Behaviour unchanged: streams, silent_endpoints and builds pass (28 cases).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -161,17 +161,16 @@
                 }
                 Waited::Replaced(attempt) => {
                     self.log_silence();
-                    if self.resume(Interruption::Silent, Some(attempt)).await {
-                        continue;
-                    }
-                    return Some(Err(self.abort(Interruption::Silent)));
+                    (Interruption::Silent, Some(attempt))
                 }
                 Waited::Expired => {
                     self.log_silence();
                     return Some(Err(self.abort(Interruption::Silent)));
                 }
             };
-            self.record_failure();
+            if interruption != Interruption::Silent {
+                self.record_failure();
+            }
             if !self.resume(interruption, replacement).await {
                 return Some(Err(self.abort(interruption)));
             }
