--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -19,7 +19,8 @@
     headers::strip_hop_by_hop_headers,
     relay,
     request::RequestContext,
-    selection::{self, MIN_REMAINING_MS, RetryState, Selection},
+    retry_state::RetryState,
+    selection::{self, MIN_REMAINING_MS, Selection},
     silence::{Waited, Waiting},
 };
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `request` | checks a request and selects its service |
 //! | `attempt` | one attempt: sends a request to one endpoint |
 //! | `attempts` | sends a request to endpoints, one after the other |
+//! | `retry_state` | what has been tried for one request |
 //! | `selection` | selects the endpoint for each attempt, or none under overload |
 //! | `silence` | gives up a silent endpoint only for another one |
 //! | `relay` | forwards a stream and resumes it at another endpoint |
@@ -50,6 +51,7 @@
 mod pool;
 mod relay;
 mod request;
+mod retry_state;
 mod run;
 mod selection;
 mod settings;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,7 +25,8 @@
     origins,
     pool::{self, Connection},
     request::RequestContext,
-    selection::{self, RetryState, Selection},
+    retry_state::RetryState,
+    selection::{self, Selection},
     silence::{self, Waited, Waiting},
 };
 
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway, request::RequestContext,
+    retry_state::RetryState,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
@@ -31,28 +32,6 @@
 /// another endpoint.
 const LATENCY_GOAL_FACTOR: u64 = 4;
 
-/// The endpoints selected and the attempts used so far for one request.
-#[derive(Debug, Default)]
-pub(crate) struct RetryState {
-    /// Node numbers of the endpoints selected; none is selected twice.
-    pub(crate) tried_nodes: Vec<u64>,
-    /// Number of endpoints that were selected to send the request to.
-    pub(crate) sent: u32,
-    /// Number of attempts that may have run at an endpoint.
-    pub(crate) ran: u32,
-    /// Key of the build that sent the first event of the stream; only endpoints of this
-    /// build can continue it.
-    pub(crate) build: Option<u64>,
-}
-
-impl RetryState {
-    /// Returns whether the request may be sent to this endpoint.
-    fn allows(&self, handle: &EndpointHandle) -> bool {
-        !self.tried_nodes.contains(&handle.node())
-            && self.build.is_none_or(|it| it == handle.endpoint.borrow().build_key())
-    }
-}
-
 /// Result of selecting the next endpoint.
 #[derive(Debug)]
 pub(crate) enum Selection {
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -15,7 +15,8 @@
     endpoint_handle::EndpointHandle,
     gateway::Gateway,
     request::RequestContext,
-    selection::{self, RetryState, Selection},
+    retry_state::RetryState,
+    selection::{self, Selection},
 };
 
 /// Interval between two searches for another endpoint.
