Reproduce responses of the router that end after silence

Callers of the project's own router saw requests end without a complete response (LOST) although their endpoint was sound. Cause: an engine or a service that sends nothing for progress_ms counts as failed: its run is dropped before another endpoint is known, at a stream, at a head and at a complete response alike, the same order as in the gateway.

An engine can now send the head of a response late (head_ms).

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -103,6 +103,8 @@
     pub leaving: Option<bool>,
     /// Duration of one step of the batch, in milliseconds.
     pub step_ms: Option<u64>,
+    /// Time from a request to the head of its response, in milliseconds.
+    pub head_ms: Option<u64>,
     /// Number of orders that take effect but get no response.
     pub lose_orders: Option<u32>,
 }
@@ -115,6 +117,7 @@
     faults: Vec<Fault>,
     crash_on: Option<String>,
     leaving: bool,
+    head_ms: u64,
     lose_orders: u32,
     engine_state: EngineState,
     /// Wakes the batch loop when a sequence is submitted.
@@ -137,6 +140,7 @@
         faults: Vec::new(),
         crash_on: None,
         leaving: false,
+        head_ms: 0,
         lose_orders: 0,
         engine_state: EngineState {
             model: settings.model.as_str().into(),
@@ -235,6 +239,10 @@
         Err(Refusal::Crashing) => return reply(500, "crashing"),
         Err(Refusal::NotRun(reason)) => return refuse(reason),
     };
+    let head_ms = state.borrow().head_ms;
+    if head_ms > 0 {
+        time::sleep(Duration::from_millis(head_ms)).await;
+    }
     let (sender, body) = channel_body(STREAM_BUFFER_FRAMES);
     let sequence = Sequence::new(id.clone(), generate, priority, resume_from, fault, sender);
     state.borrow_mut().batch.submit(sequence);
@@ -337,6 +345,7 @@
         state.crash_on = control.crash_on.or(state.crash_on.take());
         state.leaving = control.leaving.unwrap_or(state.leaving);
         state.settings.step_ms = control.step_ms.unwrap_or(state.settings.step_ms);
+        state.head_ms = control.head_ms.unwrap_or(state.head_ms);
         state.lose_orders = control.lose_orders.unwrap_or(state.lose_orders);
     })
     .await
