Give up a silent endpoint of the router only for another one

Callers of the router's own interface saw streams, heads and complete responses end after progress_ms of silence (LOST), though a sound engine may be silent for a second and go on. Cause: silence was an error of the run, which was dropped before another endpoint was looked for; with none (retry budget spent, resumes used up, the others silent, refusing or over their limit) the response ended with code 4002 or 3008.

Now a silent endpoint is waited for until the deadline. After progress_ms another one is searched, every 250 ms; it is sent the request only once placement has selected it and the retry budget has paid, and it takes over only by a response. A silent attempt at another endpoint is dropped only for a third one, and goes on if the first one fails. At most two endpoints work on a request. Only idempotent requests get here with a second send: engine classes must be idempotent, and bookings do not use this path. An engine whose process has crashed is not awaited though its connection stays open. A refusal after silence is not reported as "not run" if a replacement may have run. A client that leaves during silence ends its stream.

No cost of the timers was measured.

With one engine a connection that has died silently is no longer replaced by a new one to the same engine: this cannot be told from a pause.

--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -25,7 +25,7 @@
     request: &Rc<ClientRequest>,
     open_request: OpenRequestGuard,
 ) -> Response<ReplyBody> {
-    let run = match start(node, request, 0, None).await {
+    let run = match start(node, request, 0, None, None).await {
         Ok(run) => run,
         Err(error) => {
             info!(
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `api`, `request` | read client requests and dispatch them |
 //! | `placement` | selects an engine |
 //! | `start`, `run` | send a request to an engine, with retries |
+//! | `silence`, `attempt` | give up a silent endpoint only for another one |
 //! | `stream`, `token_reader` | stream the response and resume it after a failure |
 //! | `idempotency` | runs non-idempotent requests at most once |
 //! | `admission`, `loads` | admit requests to engines through their admission homes |
@@ -20,6 +21,7 @@
 
 mod admission;
 mod api;
+mod attempt;
 mod crashes;
 mod drain;
 mod follow;
@@ -42,6 +44,7 @@
 mod run;
 mod service;
 pub mod settings;
+mod silence;
 mod start;
 mod stream;
 mod token_reader;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -9,12 +9,14 @@
     http::Call,
     pool::{Connection, PoolError},
 };
+use tokio::time;
 
 use crate::{
     admission::AdmissionPermit,
     crashes::{self, InFlightGuard},
-    node::{Node, preset},
+    node::Node,
     request::ClientRequest,
+    silence::{self, SEARCH_INTERVAL},
     token_reader::TokenReader,
 };
 
@@ -47,7 +49,8 @@
 }
 
 impl Run {
-    /// Sends a request to an engine and waits for the response to begin.
+    /// Sends a request to an engine and waits until the deadline for the response to
+    /// begin.
     ///
     /// The response starts at token `first_token`.
     pub(crate) async fn open(
@@ -90,13 +93,17 @@
             .header("x-resume-from", first_token)
             .body(Full::new(request.body.clone()))
             .map_err(|_| OpenError::NotRun)?;
-        let timeout = preset(&request.active).progress_ms.min(request.time_left(node.now()));
-        let result = connection.send(http_request, Duration::from_millis(timeout)).await;
+        let timeout = Duration::from_millis(request.time_left(node.now()));
+        let result = tokio::select! {
+            biased;
+            result = connection.send(http_request, timeout) => Some(result),
+            () = wait_for_crash(node, request, engine, incarnation) => None,
+        };
         let response = match result {
-            Ok(response) if response.headers().contains_key("x-not-run") => {
+            Some(Ok(response)) if response.headers().contains_key("x-not-run") => {
                 return Err(OpenError::NotRun);
             }
-            Ok(response) if is_matching_success(&response, &request.run_id) => response,
+            Some(Ok(response)) if is_matching_success(&response, &request.run_id) => response,
             _ => {
                 let crashed = detect_crash(node, engine, incarnation).await;
                 drop(in_flight);
@@ -130,6 +137,28 @@
     }
 }
 
+/// Waits until an engine that has been silent is known to have crashed.
+pub(crate) async fn wait_for_crash(
+    node: &Rc<Node>,
+    request: &ClientRequest,
+    engine: EndpointId,
+    incarnation: u32,
+) {
+    time::sleep(silence::patience(request)).await;
+    while !detect_crash(node, engine, incarnation).await {
+        time::sleep(SEARCH_INTERVAL).await;
+        // The engine is asked again only when its probes show another process.
+        while !has_other_incarnation(node, engine, incarnation) {
+            time::sleep(SEARCH_INTERVAL).await;
+        }
+    }
+}
+
+fn has_other_incarnation(node: &Node, engine: EndpointId, incarnation: u32) -> bool {
+    let state = node.state.borrow();
+    state.endpoints.get(engine).is_some_and(|it| it.report.incarnation != incarnation)
+}
+
 /// Returns whether the engine process behind a broken connection has crashed; if
 /// so, reports the requests that were in flight.
 ///
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -15,9 +15,12 @@
 use tokio::time;
 
 use crate::{
-    node::{Node, preset},
+    attempt::Attempt,
+    node::Node,
     request::ClientRequest,
     response::error_response,
+    silence::{Waited, wait},
+    start::try_acquire_retry,
 };
 
 /// Maximum size of a response body from a service, in bytes.
@@ -45,35 +48,68 @@
 /// workspace's retry budget allows them.
 pub(crate) async fn handle(node: &Rc<Node>, request: &Rc<ClientRequest>) -> Response<ReplyBody> {
     let mut last_code = Code::NoEndpoint;
-    for service in rank(node, request) {
-        let time_left = request.time_left(node.now());
-        if time_left == 0 {
+    let mut tried = Vec::new();
+    let mut attempt = start_next(node, request, &mut tried);
+    while let Some(current) = attempt {
+        let sent = tried.len();
+        let search = async || {
+            let is_left = next_service(node, request, &tried).is_some();
+            if is_left && try_acquire_retry(node, request) {
+                start_next(node, request, &mut tried)
+            } else {
+                None
+            }
+        };
+        let error = match wait(node, request, current.response, search).await {
+            Waited::Received(Ok(response), _) | Waited::Replaced(response) => {
+                return reply(response.status, response.body);
+            }
+            Waited::Expired => return error_response(node, Code::DeadlinePassed),
+            Waited::Received(Err(error), replacement) => {
+                attempt = replacement;
+                error
+            }
+        };
+        if request.time_left(node.now()) == 0 {
             return error_response(node, Code::DeadlinePassed);
         }
-        log_route(node, request, service);
-        let timeout = Duration::from_millis(time_left.min(preset(&request.active).progress_ms));
-        let error = match call_pooled(node, request, service, timeout).await {
-            Ok(response) => return reply(response.status, response.body),
-            Err(error) => error,
-        };
-        last_code = match error {
-            ServiceError::NotRun => Code::EndpointRefused,
-            ServiceError::MayHaveRun => Code::AnswerBroken,
+        // A replacement may have run, whatever the silent service has sent.
+        let may_have_run = error == ServiceError::MayHaveRun || tried.len() > sent;
+        last_code = match may_have_run || last_code == Code::AnswerBroken {
+            true => Code::AnswerBroken,
+            false => Code::EndpointRefused,
         };
-        if !node.state.borrow_mut().retry_budget.try_acquire(&request.workspace) {
-            break;
+        if attempt.is_none() && try_acquire_retry(node, request) {
+            attempt = start_next(node, request, &mut tried);
         }
-        node.metrics.retries.inc();
     }
     error_response(node, last_code)
 }
 
+/// Returns the first service that is not in `tried`.
+fn next_service(node: &Node, request: &ClientRequest, tried: &[EndpointId]) -> Option<EndpointId> {
+    rank(node, request).into_iter().find(|it| !tried.contains(it))
+}
+
+/// Sends a request to the first service that is not in `tried`.
+fn start_next(
+    node: &Rc<Node>,
+    request: &Rc<ClientRequest>,
+    tried: &mut Vec<EndpointId>,
+) -> Option<Attempt<ServiceResponse, ServiceError>> {
+    let service = next_service(node, request, tried)?;
+    tried.push(service);
+    log_route(node, request, service);
+    let (node, request) = (Rc::clone(node), Rc::clone(request));
+    Some(Attempt::new(service, async move { call_pooled(&node, &request, service).await }))
+}
+
 async fn call_pooled(
     node: &Rc<Node>,
     request: &ClientRequest,
     service: EndpointId,
-    timeout: Duration,
 ) -> Result<ServiceResponse, ServiceError> {
+    let timeout = Duration::from_millis(request.time_left(node.now()));
     let addr = address(node, service).ok_or(ServiceError::NotRun)?;
     let connection = node.upstream.acquire(addr).await;
     let connection = connection.map_err(|err| record_connect_failure(node, service, err))?;
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -1,6 +1,6 @@
 //! Relaying of a streamed response from engines to the client.
 
-use std::{rc::Rc, time::Duration};
+use std::{fmt::Display, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use mimosaledge_core::Code;
@@ -9,11 +9,12 @@
 use tokio::{sync::mpsc::Sender, time};
 
 use crate::{
-    node::{Node, preset},
+    node::Node,
     request::ClientRequest,
     response::ErrorResponse,
-    run::{Run, detect_crash},
-    start::{SUSPECT_RETRY_DELAY, start, try_acquire_retry},
+    run::{OpenError, Run, detect_crash, wait_for_crash},
+    silence::{Waited, wait},
+    start::{RunAttempt, SUSPECT_RETRY_DELAY, start, start_replacement, try_acquire_retry},
     token_reader::{StreamError, StreamLine},
 };
 
@@ -34,7 +35,10 @@
 enum RunOutcome {
     Complete,
     ClientDisconnected,
-    Failed(StreamError),
+    /// The run failed; an attempt that was to replace it may be in progress.
+    Failed(StreamError, Option<RunAttempt>),
+    /// The run was silent, and this one replaces it.
+    Replaced(Box<Run>),
     DeadlinePassed,
 }
 
@@ -56,7 +60,12 @@
                 RunOutcome::Complete => return self.finish(run).await,
                 RunOutcome::ClientDisconnected => return,
                 RunOutcome::DeadlinePassed => return self.fail(Code::DeadlinePassed).await,
-                RunOutcome::Failed(err) => match self.resume(run, err).await {
+                RunOutcome::Replaced(next) => {
+                    self.log_interruption(&run, "engine silent");
+                    self.resumes += 1;
+                    run = *next;
+                }
+                RunOutcome::Failed(err, attempt) => match self.resume(run, err, attempt).await {
                     Ok(next) => run = next,
                     Err(code) => return self.fail(code).await,
                 },
@@ -65,19 +74,21 @@
     }
 
     async fn relay_run(&self, run: &mut Run) -> RunOutcome {
-        let progress_timeout = Duration::from_millis(preset(&self.request.active).progress_ms);
         loop {
-            let time_left = Duration::from_millis(self.request.time_left(self.node.now()));
-            if time_left.is_zero() {
+            if self.request.time_left(self.node.now()) == 0 {
                 return RunOutcome::DeadlinePassed;
             }
-            let (line, is_end) = match run.reader.read(progress_timeout.min(time_left)).await {
-                Ok(StreamLine::Token(line)) => (line, false),
-                Ok(StreamLine::End(line)) => (line, true),
-                Err(StreamError::TimedOut) if time_left < progress_timeout => {
-                    return RunOutcome::DeadlinePassed;
-                }
-                Err(err) => return RunOutcome::Failed(err),
+            let waited = tokio::select! {
+                biased;
+                waited = self.read_or_replace(run) => waited,
+                () = self.sender.closed() => return RunOutcome::ClientDisconnected,
+            };
+            let (line, is_end) = match waited {
+                Waited::Received(Ok(StreamLine::Token(line)), _) => (line, false),
+                Waited::Received(Ok(StreamLine::End(line)), _) => (line, true),
+                Waited::Received(Err(err), attempt) => return RunOutcome::Failed(err, attempt),
+                Waited::Replaced(next) => return RunOutcome::Replaced(Box::new(next)),
+                Waited::Expired => return RunOutcome::DeadlinePassed,
             };
             if !self.send(line).await {
                 return RunOutcome::ClientDisconnected;
@@ -88,6 +99,31 @@
         }
     }
 
+    /// Reads the next line, or replaces the run if its engine is silent.
+    async fn read_or_replace(
+        &self,
+        run: &mut Run,
+    ) -> Waited<Result<StreamLine, StreamError>, Run, OpenError> {
+        let (node, request) = (&self.node, &self.request);
+        let (engine, incarnation) = (run.engine, run.incarnation);
+        let next_token = run.reader.next_token();
+        let line = async {
+            tokio::select! {
+                biased;
+                line = run.reader.read() => line,
+                () = wait_for_crash(node, request, engine, incarnation) => {
+                    Err(StreamError::Crashed)
+                }
+            }
+        };
+        let mut tried = vec![engine];
+        let search = async || match self.resumes < MAX_RESUMES {
+            true => start_replacement(node, request, next_token, &mut tried).await,
+            false => None,
+        };
+        wait(node, request, line, search).await
+    }
+
     /// Sends a line to the client; returns `false` if the client has disconnected or
     /// reads too slowly.
     async fn send(&self, line: Bytes) -> bool {
@@ -104,24 +140,38 @@
     }
 
     /// Resumes an interrupted response at its next token.
-    async fn resume(&mut self, run: Run, err: StreamError) -> Result<Run, Code> {
+    ///
+    /// An attempt that is already in progress is continued, and has been counted in
+    /// the retry budget.
+    async fn resume(
+        &mut self,
+        run: Run,
+        err: StreamError,
+        attempt: Option<RunAttempt>,
+    ) -> Result<Run, Code> {
+        self.log_interruption(&run, err);
         let (node, request) = (&self.node, &self.request);
-        warn!(
-            "route: {} was interrupted at token {}: {err}",
-            request.run_id,
-            run.reader.next_token()
-        );
         let crashed = detect_crash(node, run.engine, run.incarnation).await;
         self.resumes += 1;
-        if self.resumes > MAX_RESUMES || !try_acquire_retry(node, request) {
-            return Err(Code::AnswerBroken);
-        }
-        if crashed {
-            time::sleep(SUSPECT_RETRY_DELAY).await;
+        if attempt.is_none() {
+            if self.resumes > MAX_RESUMES || !try_acquire_retry(node, request) {
+                return Err(Code::AnswerBroken);
+            }
+            if crashed {
+                time::sleep(SUSPECT_RETRY_DELAY).await;
+            }
         }
         let (next_token, failed) = (run.reader.next_token(), run.engine);
         drop(run);
-        start(node, request, next_token, Some(failed)).await.map_err(|error| error.code)
+        start(node, request, next_token, Some(failed), attempt).await.map_err(|error| error.code)
+    }
+
+    fn log_interruption(&self, run: &Run, cause: impl Display) {
+        warn!(
+            "route: {} was interrupted at token {}: {cause}",
+            self.request.run_id,
+            run.reader.next_token()
+        );
     }
 
     /// Sends an error line as the end of a response that cannot be completed.
--- a/crates/router/src/token_reader.rs
+++ b/crates/router/src/token_reader.rs
@@ -24,8 +24,8 @@
 pub(crate) enum StreamError {
     /// The connection was closed before the last line.
     Disconnected,
-    /// No data arrived before the timeout.
-    TimedOut,
+    /// The engine's process has crashed.
+    Crashed,
     /// A line has the identifier of another request.
     WrongRequest,
     /// A token is missing.
@@ -38,7 +38,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             StreamError::Disconnected => "connection closed before the last line",
-            StreamError::TimedOut => "no data before the timeout",
+            StreamError::Crashed => "engine crashed",
             StreamError::WrongRequest => "line of another response",
             StreamError::MissingToken => "missing token",
             StreamError::Malformed => "malformed line",
@@ -85,11 +85,11 @@
         self.next_token
     }
 
-    /// Reads the next line, waiting at most `timeout` for more data.
-    pub(crate) async fn read(&mut self, timeout: Duration) -> Result<StreamLine> {
+    /// Reads the next line.
+    pub(crate) async fn read(&mut self) -> Result<StreamLine> {
         loop {
             let Some(line) = self.take_line() else {
-                self.read_frame(timeout).await?;
+                self.read_frame().await?;
                 continue;
             };
             if let Some(line) = self.check_line(line)? {
@@ -109,14 +109,13 @@
         Some(self.buffer.split_to(end + 1).freeze())
     }
 
-    async fn read_frame(&mut self, timeout: Duration) -> Result<()> {
+    async fn read_frame(&mut self) -> Result<()> {
         if self.buffer.len() > MAX_LINE_BYTES {
             return Err(StreamError::Malformed);
         }
-        match time::timeout(timeout, self.body.frame()).await {
-            Err(_) => Err(StreamError::TimedOut),
-            Ok(None | Some(Err(_))) => Err(StreamError::Disconnected),
-            Ok(Some(Ok(frame))) => {
+        match self.body.frame().await {
+            None | Some(Err(_)) => Err(StreamError::Disconnected),
+            Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     self.buffer.extend_from_slice(&data);
                 }
