Send the origins of streams that began while no other gateway was known

A gateway that has just started may serve streams before it has heard from any other; their builds were then recorded there alone, and lost with it: a client that resumed such a stream elsewhere was rejected (3011). Now such origins are kept and sent with the first heartbeat from another gateway, 1,000 at most.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,9 +7,14 @@
 
 use mimosaledge_core::{Millis, quarantine::Quarantine};
 use mimosaledge_policy::{
-    FleetConfig, Position, builds::Builds, config::RouteTable, endpoints::Endpoints,
-    history::History, prefix_cache::CachedPrefixes, retry_budget::RetryBudget,
-    stream_origins::StreamOrigins,
+    FleetConfig, Position,
+    builds::Builds,
+    config::RouteTable,
+    endpoints::Endpoints,
+    history::History,
+    prefix_cache::CachedPrefixes,
+    retry_budget::RetryBudget,
+    stream_origins::{StreamOrigin, StreamOrigins},
 };
 use tokio::{
     net::UdpSocket,
@@ -64,6 +69,8 @@
     pub(crate) builds: RefCell<Builds>,
     /// Builds that began the latest streams, here and at some other gateways.
     pub(crate) stream_origins: RefCell<StreamOrigins>,
+    /// Origins of streams that began while no other gateway was known.
+    pub(crate) unsent_origins: RefCell<Vec<StreamOrigin>>,
     /// Notified when another gateway has sent the origin of a stream.
     pub(crate) origin_received: Notify,
     pub(crate) loads: Rc<RefCell<Loads>>,
@@ -117,6 +124,7 @@
             cached_prefixes: RefCell::default(),
             builds: RefCell::default(),
             stream_origins: RefCell::default(),
+            unsent_origins: RefCell::default(),
             origin_received: Notify::new(),
             loads: Rc::default(),
             peers: RefCell::new(peers),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -193,4 +193,5 @@
     let summary = heartbeat.summary;
     gateway.peers.borrow_mut().record_heartbeat(from, heartbeat, now);
     gateway.apply_summary(&summary);
+    origins::send_unsent(gateway);
 }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -20,6 +20,8 @@
 /// Maximum number of gateways that are asked for the origin of a stream; more than
 /// [`HOLDERS`], since gateways differ in whom they know.
 const MAX_ASKED: usize = 10;
+/// Maximum number of origins that are kept to be sent once another gateway is known.
+const MAX_UNSENT: usize = 1_000;
 /// Time after which a query that may have been lost is sent again.
 const QUERY_INTERVAL: Duration = Duration::from_millis(60);
 /// Number of times that a query is sent if the service has several builds; once if the
@@ -110,8 +112,26 @@
 pub(crate) fn record_begun(gateway: &Gateway, attempt_id: &str, build: u64) {
     let origin = StreamOrigin { attempt: hash64(attempt_id.as_bytes()), build };
     gateway.stream_origins.borrow_mut().record(origin, gateway.now());
+    if !send_to_holders(gateway, origin) {
+        let mut unsent = gateway.unsent_origins.borrow_mut();
+        if unsent.len() < MAX_UNSENT {
+            unsent.push(origin);
+        }
+    }
+}
+
+/// Sends the origins of the streams that began while no other gateway was known.
+pub(crate) fn send_unsent(gateway: &Gateway) {
+    for origin in gateway.unsent_origins.take() {
+        send_to_holders(gateway, origin);
+    }
+}
+
+/// Sends an origin to the gateways that are to remember it; returns whether there are any.
+fn send_to_holders(gateway: &Gateway, origin: StreamOrigin) -> bool {
     let holders = gateway.peers.borrow().stream_holders(origin.attempt, HOLDERS, gateway.now());
     gossip::send_now(gateway, &Message::StreamOrigin(origin), &holders);
+    !holders.is_empty()
 }
 
 /// Remembers the origin of a stream that another gateway has sent.
