--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -171,7 +171,13 @@
     /// Returns whether the store or a peer has confirmed the configuration
     /// in the last [`CONFIG_STALE_MS`] milliseconds.
     pub(crate) fn is_config_fresh(&self) -> bool {
-        self.now().since(self.config_confirmed.get()) < CONFIG_STALE_MS
+        self.config_age_ms() < CONFIG_STALE_MS
+    }
+
+    /// Returns the time since the configuration was last known to be current, in
+    /// milliseconds.
+    pub(crate) fn config_age_ms(&self) -> u64 {
+        self.now().since(self.config_confirmed.get())
     }
 
     /// Activates a configuration if it is newer than the active one.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -107,11 +107,13 @@
     cancel_log.finished = true;
     let response = result.unwrap_or_else(|error| {
         spdlog::info!(
-            "request: id={attempt_id} refused={:?} status={} retry_ms={:?} config={} elapsed_ms={}",
+            "request: id={attempt_id} refused={:?} status={} retry_ms={:?} config={} \
+             config_age_ms={} elapsed_ms={}",
             error.code,
             error.status(),
             error.retry_ms,
             gateway.config_version(),
+            gateway.config_age_ms(),
             gateway.now().since(arrived)
         );
         error.to_response(&*gateway.dialect, &attempt_id)
