Confirm the configuration only by responses on its own topic

Callers were refused with 401 and 404, or served under an older version, for up to 31 s after an outage of the store's part that holds the configuration (CONFIG, DENIED).

Cause: the call that waits for the next version (30 s) never returns if that part falls silent, and reads of the endpoint list, in another part, counted as a confirmation of the configuration, as did a peer's equal list. Ruled out: old answers of the store (no reads of the topic in that time).

A page that ends before its topic does, or a newer version at a live peer, no longer leaves the version fresh. A regained topic with a newer version is announced at once.

--- a/crates/gateway/src/cursor.rs
+++ b/crates/gateway/src/cursor.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use mimosaledge_core::Millis;
 use mimosaledge_net::LocalBoxFuture;
 use mimosaledge_policy::Position;
 use tokio::time::{sleep, timeout};
@@ -12,8 +13,7 @@
     store::{Page, Record, Topic},
 };
 
-/// Timeout for a call, in addition to the time that the call asks the store to
-/// wait.
+/// Timeout for a call that does not wait for new records.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay before reading a snapshot after the cursor's records have expired, so
 /// that an inconsistent store is not called in a tight loop.
@@ -41,15 +41,22 @@
     }
 
     /// Reads the records after the cursor, or a snapshot if there is no
-    /// position to continue from.
+    /// position to continue from; waits up to `wait` for the first record, and
+    /// up to `call_timeout` longer for the response.
     ///
     /// Records of a later era do not continue those read before, so that a
     /// snapshot is read instead.
-    pub(crate) async fn read(&mut self, gateway: &Gateway, wait: Duration) -> Result<Read> {
+    pub(crate) async fn read(
+        &mut self,
+        gateway: &Gateway,
+        wait: Duration,
+        call_timeout: Duration,
+    ) -> Result<Read> {
+        let started = gateway.now();
         let mut continued = None;
         if let Some(from) = self.next {
             let call = gateway.store.read(self.topic, from.offset, wait);
-            let page = self.call(gateway, wait, call).await?;
+            let page = self.call(gateway, wait + call_timeout, call).await?;
             if page.era.is_none_or(|era| era == from.era) {
                 continued = Some(page);
             }
@@ -67,7 +74,13 @@
             self.is_disconnected = false;
             spdlog::info!("store: topic={:?} regained=true", self.topic);
         }
-        Ok(Read { records: page.records, position, is_snapshot })
+        // A call without records ended at the earliest when its wait did.
+        let current_at = match page.records.is_empty() {
+            true => gateway.now().min(started + wait.as_millis() as u64),
+            false => gateway.now(),
+        };
+        let is_complete = page.next >= page.end;
+        Ok(Read { records: page.records, position, is_snapshot, is_complete, current_at })
     }
 
     /// Reads the newest record of each key, in as many calls as it takes. After
@@ -76,7 +89,7 @@
         loop {
             let after = self.partial.as_ref().and_then(|it| it.more.clone());
             let call = gateway.store.newest(self.topic, after);
-            let page = self.call(gateway, Duration::ZERO, call).await?;
+            let page = self.call(gateway, CALL_TIMEOUT, call).await?;
             let listed = match self.partial.take() {
                 Some(previous) if previous.era == page.era => previous.append(page),
                 // The store was restored between the two calls.
@@ -93,10 +106,10 @@
     async fn call(
         &self,
         gateway: &Gateway,
-        wait: Duration,
+        call_timeout: Duration,
         call: LocalBoxFuture<'_, Result<Page>>,
     ) -> Result<Page> {
-        let page = match timeout(wait + CALL_TIMEOUT, call).await {
+        let page = match timeout(call_timeout, call).await {
             Ok(result) => result.and_then(|page| check_era(gateway, page)),
             Err(_) => Err(Error::unreachable("timeout")),
         };
@@ -141,6 +154,10 @@
     pub(crate) position: Position,
     /// Whether the records are the newest ones of all keys.
     pub(crate) is_snapshot: bool,
+    /// Whether the topic ended with these records.
+    pub(crate) is_complete: bool,
+    /// Time at which that was so.
+    pub(crate) current_at: Millis,
 }
 
 /// Records the era that the store reports.
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -1,6 +1,6 @@
 //! Methods of [`Gateway`] that keep the endpoint list and the state derived from it.
 
-use mimosaledge_core::{Millis, Name};
+use mimosaledge_core::Name;
 use mimosaledge_policy::{
     Endpoint, Position,
     endpoints::{Change, Endpoints},
@@ -35,15 +35,19 @@
     /// Returns whether this gateway reads the endpoint list from the store,
     /// rather than receiving it from its peers.
     pub(crate) fn is_list_reader(&self) -> bool {
-        self.is_list_available() && self.peers.borrow().is_reader(self.now())
+        self.is_list_available() && self.is_reader()
     }
 
-    /// Records a successful read of the endpoint list, which confirms the
-    /// configuration as well.
+    /// Returns whether this gateway is one of those that confirm to the others what the
+    /// store holds.
+    pub(crate) fn is_reader(&self) -> bool {
+        self.peers.borrow().is_reader(self.now())
+    }
+
+    /// Records a successful read of the endpoint list.
     pub(crate) fn mark_list_read(&self) {
         self.endpoints.borrow_mut().mark_list_available(self.list_age_ms(), self.now());
         self.list_confirmed.set(self.now());
-        self.config_confirmed.set(self.now());
     }
 
     /// Records that the endpoint list could not be read.
@@ -126,12 +130,9 @@
         self.builds.borrow_mut().record(endpoints.iter(), self.now());
     }
 
-    /// Records that the endpoint list was current `age_ms` ago; returns that
-    /// time.
-    pub(crate) fn confirm_list(&self, age_ms: u64) -> Millis {
-        let read_at = self.now() - age_ms;
-        self.list_confirmed.set(self.list_confirmed.get().max(read_at));
-        read_at
+    /// Records that the endpoint list was current `age_ms` ago.
+    pub(crate) fn confirm_list(&self, age_ms: u64) {
+        self.list_confirmed.set(self.list_confirmed.get().max(self.now() - age_ms));
     }
 
     /// Returns the time since the endpoint list was last known to be current,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,25 +1,20 @@
-//! Reads the store's topics, at startup and as they change: configuration,
-//! endpoints and other gateways.
+//! Reads the lists of endpoints and gateways from the store, at startup and as they
+//! change.
 
 use std::{rc::Rc, time::Duration};
 
 use mimosaledge_core::hash::hash64;
 use mimosaledge_policy::Position;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{sleep, timeout};
 
 use crate::{
     cursor::{CALL_TIMEOUT, Cursor, MIN_BACKOFF, Read},
-    error::{Error, Result},
+    error::Error,
     gateway::Gateway,
     gossip,
     store::{GatewayEntry, Record, Topic},
 };
 
-/// Maximum time that one call waits for a new configuration.
-const CONFIG_LONG_POLL: Duration = Duration::from_secs(30);
-/// Minimum time between a configuration and the call that waits for the next one, so
-/// that versions in quick succession are read together.
-const CONFIG_MIN_INTERVAL: Duration = Duration::from_millis(700);
 /// Interval between two reads of the endpoint list.
 const LIST_POLL_INTERVAL: Duration = Duration::from_millis(900);
 /// Age of the endpoint list at which a gateway that normally receives it from
@@ -28,79 +23,28 @@
 /// Range of the jitter that is added to this age, in milliseconds; it differs
 /// between gateways, so that they do not all read at once.
 const LIST_STALE_JITTER_MS: u64 = 300;
-/// Interval between two checks of the list's age.
-const LIST_AGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between two checks of the age of the last confirmation.
+pub(crate) const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time within which gateways that are started together register.
 const REGISTRATION_WINDOW: Duration = Duration::from_millis(500);
 /// Interval between two reads of the list of gateways while no other live
 /// gateway is known; heartbeats of live ones name the others.
 const GATEWAYS_POLL_INTERVAL: Duration = Duration::from_secs(5);
-/// Range of the delay after which a gateway reads the configuration again when the
-/// store was restored, in milliseconds; it differs between gateways.
-const RESTORE_REREAD_JITTER_MS: u64 = 400;
 /// Range of the delay after which a gateway registers again when the store was
 /// restored, in milliseconds; appends to one topic are processed one at a time.
 const RESTORE_REGISTER_JITTER_MS: u64 = 2_000;
 
 /// Returns a delay of up to `range_ms`, which differs between gateways.
-fn jitter(gateway: &Gateway, range_ms: u64) -> Duration {
+pub(crate) fn jitter(gateway: &Gateway, range_ms: u64) -> Duration {
     Duration::from_millis(hash64(gateway.settings.name.as_bytes()) % range_ms)
 }
 
-/// Reads the configuration and its changes until the gateway exits.
-pub(crate) async fn follow_config(gateway: Rc<Gateway>) {
-    let mut cursor = Cursor::new(Topic::Config);
-    let mut era = gateway.era.subscribe();
-    let mut next_read = Instant::now();
-    loop {
-        let read = tokio::select! {
-            biased;
-            () = gateway.config_reread.notified() => {
-                cursor.next = None;
-                continue;
-            }
-            _ = era.changed() => {
-                // The long poll may wait for an offset that the restored store
-                // reaches only after many changes.
-                if cursor.is_before(gateway.era()) {
-                    sleep(jitter(&gateway, RESTORE_REREAD_JITTER_MS)).await;
-                    cursor.next = None;
-                }
-                continue;
-            }
-            read = read_at(next_read, &gateway, &mut cursor) => read,
-        };
-        match read {
-            Ok(read) => {
-                gateway.config_confirmed.set(gateway.now());
-                if !read.records.is_empty() {
-                    next_read = Instant::now() + CONFIG_MIN_INTERVAL;
-                }
-                for record in read.records {
-                    match record {
-                        Record::Config(config) => gateway.apply_config(*config, "store"),
-                        record => log_unreadable(Topic::Config, record),
-                    }
-                }
-            }
-            Err(err) => cursor.back_off(&err).await,
-        }
-    }
-}
-
-/// Reads the next configurations, at `time` at the earliest.
-async fn read_at(time: Instant, gateway: &Gateway, cursor: &mut Cursor) -> Result<Read> {
-    sleep_until(time).await;
-    cursor.read(gateway, CONFIG_LONG_POLL).await
-}
-
 /// Reads the endpoint list and its changes until the gateway exits; pauses
 /// while peers that read them keep this gateway up to date.
 pub(crate) async fn follow_endpoints(gateway: Rc<Gateway>) {
     let mut cursor = Cursor::new(Topic::Endpoints);
     loop {
-        let was_disconnected = cursor.is_disconnected;
-        match cursor.read(&gateway, Duration::ZERO).await {
+        match cursor.read(&gateway, Duration::ZERO, CALL_TIMEOUT).await {
             Ok(read) if read.position < gateway.endpoints.borrow().position() => {
                 // A stale replica of the store must not revert newer state.
                 let known = gateway.endpoints.borrow().position();
@@ -112,11 +56,6 @@
                 sleep(MIN_BACKOFF).await;
             }
             Ok(read) => {
-                if was_disconnected {
-                    // The long poll for the configuration may have been lost as
-                    // well.
-                    gateway.config_reread.notify_one();
-                }
                 gateway.mark_list_read();
                 apply_endpoints(&gateway, read);
                 gossip::send_changes(&gateway).await;
@@ -145,7 +84,7 @@
 async fn wait_until_read_due(gateway: &Gateway) {
     let max_age_ms = LIST_STALE_MS + jitter(gateway, LIST_STALE_JITTER_MS).as_millis() as u64;
     while !gateway.is_list_reader() && gateway.list_age_ms() < max_age_ms {
-        sleep(LIST_AGE_CHECK_INTERVAL).await;
+        sleep(CONFIRMATION_CHECK_INTERVAL).await;
     }
 }
 
@@ -191,7 +130,7 @@
                 Err(_) => cursor.back_off(&Error::unreachable("timeout")).await,
             }
         }
-        match cursor.read(&gateway, Duration::ZERO).await {
+        match cursor.read(&gateway, Duration::ZERO, CALL_TIMEOUT).await {
             Ok(read) => {
                 for record in read.records {
                     match record {
@@ -225,7 +164,7 @@
 }
 
 /// Logs a record that cannot be decoded; ignores a record of another topic.
-fn log_unreadable(topic: Topic, record: Record) {
+pub(crate) fn log_unreadable(topic: Topic, record: Record) {
     if let Record::Unreadable { key, reason } = record {
         spdlog::warn!("store: topic={topic:?} key={key} unreadable=true cause={reason:?}");
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -83,8 +83,9 @@
     pub(crate) list_digest: Cell<u64>,
     /// Latest known era of the store; a rise invalidates pending long polls.
     pub(crate) era: watch::Sender<u64>,
-    /// Whether peers have not been told the era yet.
-    pub(crate) has_unsent_era: Cell<bool>,
+    /// Whether peers must be sent a summary at once, since the store was restored or
+    /// regained with a newer configuration.
+    pub(crate) has_unsent_summary: Cell<bool>,
     /// Notified to abort the pending long poll and read the configuration
     /// again.
     pub(crate) config_reread: Notify,
@@ -132,7 +133,7 @@
             list_confirmed: Cell::new(Millis(0)),
             list_digest: Cell::new(0),
             era: watch::Sender::new(0),
-            has_unsent_era: Cell::new(false),
+            has_unsent_summary: Cell::new(false),
             config_reread: Notify::new(),
             unsent_changes: RefCell::default(),
             history: RefCell::default(),
@@ -169,9 +170,15 @@
     }
 
     /// Returns whether the store or a peer has confirmed the configuration
-    /// in the last [`CONFIG_STALE_MS`] milliseconds.
+    /// in the last [`CONFIG_STALE_MS`] milliseconds, and no live peer has a newer one.
     pub(crate) fn is_config_fresh(&self) -> bool {
-        self.config_age_ms() < CONFIG_STALE_MS
+        let newer_peer = || self.peers.borrow().find_newer(self.state_summary(), false, self.now());
+        self.config_age_ms() < CONFIG_STALE_MS && newer_peer().is_none()
+    }
+
+    /// Records that the configuration was current at `time`.
+    pub(crate) fn confirm_config(&self, time: Millis) {
+        self.config_confirmed.set(self.config_confirmed.get().max(time));
     }
 
     /// Returns the time since the configuration was last known to be current, in
@@ -210,7 +217,7 @@
         spdlog::info!("store: era={era} before={before} source={source}");
         // A gateway that starts has only learned the era that the others know.
         if self.endpoints.borrow().position() != Position::default() {
-            self.has_unsent_era.set(true);
+            self.has_unsent_summary.set(true);
         }
     }
 
@@ -222,21 +229,21 @@
             era: self.era(),
             position: self.endpoints.borrow().position(),
             digest: self.list_digest.get(),
-            age_ms: self.now().since(self.list_confirmed.get()),
+            list_age_ms: self.list_age_ms(),
+            config_age_ms: self.config_age_ms(),
         }
     }
 
-    /// Applies a peer's summary: the same digest confirms the endpoint list,
-    /// and the same version also the configuration.
+    /// Applies a peer's summary: the same version confirms the configuration as far as
+    /// the peer has, and the same digest the endpoint list.
     pub(crate) fn apply_summary(&self, summary: &StateSummary) {
         self.observe_era(summary.era, "peer");
-        if summary.digest != self.list_digest.get() {
-            return;
-        }
-        let read_at = self.confirm_list(summary.age_ms);
-        self.endpoints.borrow_mut().advance_to(summary.position);
         if summary.version == self.config_version() {
-            self.config_confirmed.set(self.config_confirmed.get().max(read_at));
+            self.confirm_config(self.now() - summary.config_age_ms);
+        }
+        if summary.digest == self.list_digest.get() {
+            self.confirm_list(summary.list_age_ms);
+            self.endpoints.borrow_mut().advance_to(summary.position);
         }
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -63,12 +63,12 @@
 /// Sends changes of the endpoint list that have just been read to the other
 /// gateways.
 ///
-/// After a read without changes nothing is sent, unless the store was restored;
-/// the next heartbeats confirm the list.
+/// After a read without changes nothing is sent, unless peers must be sent a summary; the
+/// next heartbeats confirm the list.
 pub(crate) async fn send_changes(gateway: &Gateway) {
     let Some(socket) = gateway.peer_socket.get() else { return };
     let batch = std::mem::take(&mut *gateway.unsent_changes.borrow_mut());
-    if batch.changes.is_empty() && !gateway.has_unsent_era.take() {
+    if batch.changes.is_empty() && !gateway.has_unsent_summary.take() {
         return;
     }
     let Some(bytes) = encode(&Message::Changes(gateway.state_summary(), batch)) else { return };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,7 @@
 //! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
 //! | `origins` | finds the build that began a stream that a client resumes |
-//! | `follow`, `cursor` | read the configuration and lists from the store |
+//! | `follow_config`, `follow`, `cursor` | read the configuration and lists from the store |
 //! | `gossip`, `messages`, `peers` | exchange heartbeats with the other gateways |
 //! | `sync` | fetches missing state from another gateway |
 //! | `gateway` | holds the state that these modules share |
@@ -37,6 +37,7 @@
 mod error;
 mod error_response;
 mod follow;
+mod follow_config;
 mod gateway;
 mod gossip;
 mod headers;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -34,7 +34,9 @@
     /// Digest of the endpoint list.
     pub(crate) digest: u64,
     /// Time since the list was last known to be current, in milliseconds.
-    pub(crate) age_ms: u64,
+    pub(crate) list_age_ms: u64,
+    /// Time since the configuration was last known to be current, in milliseconds.
+    pub(crate) config_age_ms: u64,
 }
 
 /// Consecutive changes of the endpoint list.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,7 +15,7 @@
     dialect::Dialect,
     directory,
     drain::Phase,
-    follow,
+    follow, follow_config,
     gateway::Gateway,
     gossip, listener,
     log_sink::LogSink,
@@ -90,7 +90,7 @@
     let peer_socket = Rc::new(peer_socket);
     gateway.peer_socket.get_or_init(|| peer_socket.clone());
     let accept_task = start_listeners(&gateway)?;
-    spawn_local(follow::follow_config(gateway.clone()));
+    spawn_local(follow_config::follow_config(gateway.clone()));
     spawn_local(follow::follow_endpoints(gateway.clone()));
     spawn_local(follow::follow_gateways(gateway.clone()));
     spawn_local(gossip::run(gateway.clone(), peer_socket));
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -54,6 +54,8 @@
     pub records: Vec<Record>,
     /// The offset from which to read later records.
     pub next: u64,
+    /// The offset at which the topic ended when the page was read.
+    pub end: u64,
     /// The store's era, which rises each time it is restored from an older copy,
     /// or `None` if the store does not report it.
     pub era: Option<u64>,
