Confirm the configuration every second also after a new version

Cause: after each version the two confirming gateways paused for 0.7 s and then polled for 1 s, and a fixed age of 1.6 s left no room for the interval of heartbeats, which grows to 1.1 s; so all others gave their calls up and read again (323 times, after each version).

--- a/crates/gateway/src/follow_config.rs
+++ b/crates/gateway/src/follow_config.rs
@@ -20,17 +20,18 @@
 
 /// Maximum time that one call waits for a new version.
 const LONG_POLL: Duration = Duration::from_secs(30);
-/// Maximum time that one call waits at the gateways that confirm the version to others.
-const CONFIRMING_POLL: Duration = Duration::from_secs(1);
+/// Interval at which a gateway that confirms the version to others gets a response.
+const CONFIRMING_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout for a call, in addition to the time that it waits, while the store responds.
 const POLL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Minimum time between a version and the call that waits for the next one, so that
 /// versions in quick succession are read together.
 const MIN_INTERVAL: Duration = Duration::from_millis(700);
-/// Age of the last confirmation at which a gateway reads the configuration again, in
-/// milliseconds: a confirming poll and a heartbeat.
-const MAX_AGE_MS: u64 = 1_600;
-/// The same age in a large fleet, where heartbeats take several rounds to reach all.
+/// Time for which a confirmation may be on its way besides the intervals at which it is
+/// obtained and sent, in milliseconds.
+const CONFIRMATION_DELAY_MS: u64 = 150;
+/// Age of the last confirmation at which a gateway of a large fleet reads the configuration
+/// again, in milliseconds; heartbeats take several rounds to reach all.
 const LARGE_FLEET_MAX_AGE_MS: u64 = 3_500;
 /// Range of the jitter that is added to this age, in milliseconds.
 const MAX_AGE_JITTER_MS: u64 = 300;
@@ -103,7 +104,9 @@
         return Some(cursor.read(gateway, Duration::ZERO, POLL_TIMEOUT).await);
     }
     if gateway.is_reader() {
-        return Some(cursor.read(gateway, CONFIRMING_POLL, POLL_TIMEOUT).await);
+        let age = Duration::from_millis(gateway.config_age_ms());
+        let wait = CONFIRMING_INTERVAL.saturating_sub(age);
+        return Some(cursor.read(gateway, wait, POLL_TIMEOUT).await);
     }
     tokio::select! {
         read = cursor.read(gateway, LONG_POLL, POLL_TIMEOUT) => Some(read),
@@ -126,10 +129,17 @@
 }
 
 fn is_unconfirmed(gateway: &Gateway) -> bool {
-    let max_age_ms = match gateway.peers.borrow().is_large() {
-        true => LARGE_FLEET_MAX_AGE_MS,
-        false => MAX_AGE_MS,
-    };
+    gateway.config_age_ms() >= max_age_ms(gateway)
+}
+
+/// Returns the age of the last confirmation at which a gateway reads the configuration
+/// again, in milliseconds.
+fn max_age_ms(gateway: &Gateway) -> u64 {
     let jitter_ms = follow::jitter(gateway, MAX_AGE_JITTER_MS).as_millis() as u64;
-    gateway.config_age_ms() >= max_age_ms + jitter_ms
+    let peers = gateway.peers.borrow();
+    if peers.is_large() {
+        return LARGE_FLEET_MAX_AGE_MS + jitter_ms;
+    }
+    let interval_ms = CONFIRMING_INTERVAL.as_millis() as u64;
+    interval_ms + peers.round_interval_ms() + CONFIRMATION_DELAY_MS + jitter_ms
 }
