Take no second share of the retry allowance after a restart

Cause: each incarnation of a gateway took its part of the allowance again, the whole of it until it had heard from others, and gateways that did not hear each other divided it by fewer. A restarted gateway now takes none of it for a window, and the number of shares includes gateways that were heard of in the last 60 s. The platform's flag of the first start becomes the setting first_start.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -106,6 +106,10 @@
     ) -> Gateway {
         let clock = Clock::start();
         let limit = settings.to_retry_limit();
+        let retry_budget = match settings.first_start {
+            true => RetryBudget::new(limit),
+            false => RetryBudget::after_restart(limit, clock.now()),
+        };
         let bounds = Cell::new(settings.bounds);
         let peers = Peers::new(&settings, clock.now());
         Gateway {
@@ -120,7 +124,7 @@
             routes: RefCell::default(),
             endpoints: RefCell::default(),
             endpoint_table: RefCell::default(),
-            retry_budget: RefCell::new(RetryBudget::new(limit)),
+            retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::new(Quarantine::with_retention(CRASH_RETENTION_MS)),
             cached_prefixes: RefCell::default(),
             builds: RefCell::default(),
@@ -247,6 +251,12 @@
         }
     }
 
+    /// Returns the number of gateways that share the retry budget: also those that are not
+    /// heard of, since they may be alive and take their part.
+    pub(crate) fn count_budget_shares(&self) -> usize {
+        self.peers.borrow().known_count() + 1
+    }
+
     /// Returns the number of live gateways, including this one.
     pub(crate) fn count_gateways(&self) -> usize {
         self.peers.borrow().count_alive(self.now()) + 1
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -80,6 +80,11 @@
         self.membership.alive(now).count()
     }
 
+    /// Returns the number of other gateways that are alive or were so lately.
+    pub(crate) fn known_count(&self) -> usize {
+        self.membership.known_count()
+    }
+
     /// Returns the recipients of urgent messages: all gateways that may be
     /// alive.
     pub(crate) fn urgent_recipients(&self, now: Millis) -> Vec<Ipv4Addr> {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -111,7 +111,7 @@
     if retry_state.sent > 0 {
         if !gateway.retry_budget.borrow_mut().try_acquire(
             &context.service,
-            gateway.count_gateways(),
+            gateway.count_budget_shares(),
             now,
         ) {
             return Selection::Unavailable(Unavailable::RetryBudget);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -67,6 +67,10 @@
     /// template without seeds leaves the value empty.
     #[serde(default)]
     pub seeds: Option<Vec<SocketAddrV4>>,
+    /// Whether the whole fleet starts for the first time, so that none of its retry
+    /// allowance can have been used.
+    #[serde(default)]
+    pub first_start: bool,
     /// The platform's store.
     pub store: StoreSettings,
     /// The operators' limits.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -202,6 +202,12 @@
         self.members.get(&ring_position(address)).is_some_and(|it| self.is_member_alive(it, now))
     }
 
+    /// Returns the number of gateways that may be alive, although nothing has been heard of
+    /// some of them for up to `REMOVE_AFTER_MS`.
+    pub fn known_count(&self) -> usize {
+        self.members.len()
+    }
+
     /// Iterates over the gateways that are believed to be alive.
     pub fn alive(&self, now: Millis) -> impl Iterator<Item = Ipv4Addr> {
         self.members.values().filter(move |it| self.is_member_alive(it, now)).map(|it| it.address)
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! The budget of a service is shared by all gateways without coordination: each
 //! one may retry a ratio of the requests that it has received itself, plus an
-//! equal part of a fixed allowance.
+//! equal part of a fixed allowance. A gateway that has restarted does not know how much
+//! of its part it has used before, and takes none of it until a window has passed.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -31,13 +32,21 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limit: RetryLimit,
+    /// Time before which none of the allowance may be used.
+    slack_from: Millis,
     services: HashMap<Name, Usage>,
 }
 
 impl RetryBudget {
     /// Creates budgets from which nothing has been used.
     pub fn new(limit: RetryLimit) -> RetryBudget {
-        RetryBudget { limit, services: HashMap::new() }
+        RetryBudget { limit, slack_from: Millis::default(), services: HashMap::new() }
+    }
+
+    /// Creates the budgets of a gateway that starts at `now` and may have used its part of
+    /// the allowance before.
+    pub fn after_restart(limit: RetryLimit, now: Millis) -> RetryBudget {
+        RetryBudget { slack_from: now + limit.window_ms, ..RetryBudget::new(limit) }
     }
 
     /// Replaces the limit; requests and retries in the window still count.
@@ -59,7 +68,10 @@
         let usage = self.services.entry(service.clone()).or_default();
         remove_expired(&mut usage.requests, now, limit.window_ms);
         remove_expired(&mut usage.retries, now, limit.window_ms);
-        let slack = limit.slack / gateways.max(1) as f64;
+        let slack = match now < self.slack_from {
+            true => 0.0,
+            false => limit.slack / gateways.max(1) as f64,
+        };
         let allowed = (limit.ratio * usage.requests.len() as f64 + slack) * limit.usable_share;
         if usage.retries.len() as f64 + 1.0 > allowed {
             return false;
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -217,6 +217,20 @@
     assert!(retries as f64 >= allowed * 0.7, "{retries} retries of {allowed}");
 }
 
+// Guards against more retries than allowed because gateways restart one after the other.
+#[test]
+fn restarted_gateway_uses_only_the_ratio_for_a_window() {
+    let service = Name::from("app");
+    let limit = RetryLimit { ratio: 0.5, slack: 10.0, window_ms: 1_000, usable_share: 1.0 };
+    let mut budget = RetryBudget::after_restart(limit, NOW);
+    assert!(!budget.try_acquire(&service, 1, NOW));
+    budget.record_request(&service, NOW + 1);
+    budget.record_request(&service, NOW + 1);
+    assert!(budget.try_acquire(&service, 1, NOW + 2));
+    assert!(!budget.try_acquire(&service, 1, NOW + 999));
+    assert!(budget.try_acquire(&service, 1, NOW + 1_000));
+}
+
 #[test]
 fn budget_recovers_after_the_window() {
     let service = Name::from("app");
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -186,3 +186,18 @@
     assert_eq!(members.remove_silent(Millis(60_000)), [address(1)]);
     assert!(members.remove_silent(Millis(100_000)).is_empty());
 }
+
+// Guards against more retries than allowed because gateways that do not hear each other
+// divide the allowance by the number of those they hear.
+#[test]
+fn silent_gateways_keep_their_share_of_the_retry_budget() {
+    let mut membership = Membership::new(address(0), PolicySettings::default().mesh_peers);
+    for number in 1..8 {
+        membership.record_heartbeat(address(number), Millis(0));
+    }
+    let now = Millis(30_000);
+    assert_eq!(membership.alive(now).count(), 0);
+    assert_eq!(membership.known_count(), 7);
+    membership.remove_silent(Millis(60_000));
+    assert_eq!(membership.known_count(), 0);
+}
