--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -166,7 +166,7 @@
     open: OpenResponse,
 ) -> Result<Response<ReplyBody>, AttemptError> {
     let timeout_left = Duration::from_millis(context.remaining_ms(gateway.now()));
-    let OpenResponse { in_flight, connection, mut head, metadata, body } = open;
+    let OpenResponse { in_flight, received, connection, mut head, metadata, body } = open;
     let handle = in_flight.handle().clone();
     let collected = timeout(timeout_left, Limited::new(body, MAX_BUFFERED_BYTES).collect()).await;
     let now = gateway.now();
@@ -174,7 +174,7 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(_)) => {
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
-            check_for_crash(gateway, context, &handle);
+            check_for_crash(gateway, context, &handle, Some(received));
             return Err(log_failure(
                 gateway,
                 context,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -39,6 +39,8 @@
 /// The response of the endpoint that currently sends the stream.
 struct Upstream {
     in_flight: InFlight,
+    /// When the head of its response was received.
+    received: Millis,
     connection: Option<Connection>,
     body: Incoming,
     /// Whether the endpoint closes the connection after the stream.
@@ -49,6 +51,7 @@
     fn from_open(open: OpenResponse) -> Upstream {
         Upstream {
             in_flight: open.in_flight,
+            received: open.received,
             connection: Some(open.connection),
             body: open.body,
             closing: open.metadata.closing,
@@ -240,7 +243,8 @@
         let handle = self.upstream.in_flight.handle();
         let policy = &self.gateway.settings.policy;
         handle.record_outcome(policy, Outcome::Failed, self.gateway.now());
-        attempt::check_for_crash(&self.gateway, &self.context, handle);
+        let received = Some(self.upstream.received);
+        attempt::check_for_crash(&self.gateway, &self.context, handle, received);
         self.retry_state.ran += 1;
     }
 
