Refuse the part of prompts that crashes engines, and only that part

Cause: the quarantine recognizes a request by path, key and body as a whole, so that none of these was a suspect twice. Ruled out: crashes that were not noticed (each has its lines).

Each shared part of a prompt is now a suspect of a crash if the engine had begun to respond within 0.5 s; gateways tell each other at once. The part that explains three crashes best, without any completion since, is refused; all others are cleared by a completion or by that culprit. Refused requests are told when to come back, and are not sent to another endpoint.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,13 +1,12 @@
 //! One attempt to send a request to an endpoint.
 
-use std::{future::Future, pin::Pin, rc::Rc, time::Duration};
+use std::{future::Future, pin::Pin, rc::Rc};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Version, body::Incoming, http::response};
 use mimosaledge_core::Millis;
 use mimosaledge_policy::health::Outcome;
-use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
     dialect::{ForwardMetadata, ResponseMetadata},
@@ -16,14 +15,11 @@
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
     pool::{Connection, SendError},
+    quarantine,
     request::RequestContext,
     selection,
 };
 
-/// Delay between the loss of a connection and the connection attempt that shows
-/// whether its endpoint crashed.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
-
 /// A response whose head has been received and whose body is still to be read.
 #[derive(Debug)]
 pub(crate) struct OpenResponse {
@@ -107,7 +103,7 @@
         }
         Err(SendError::ConnectionLost { idle_ms, io }) => {
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
-            check_for_crash(gateway, context, handle, None);
+            quarantine::check_for_crash(gateway, context, handle, None);
             let cause = format!("connection broken, idle_ms={idle_ms:?}, io={io:?}");
             return Err(log_failure(gateway, context, handle, AttemptError::Unknown, &cause));
         }
@@ -177,49 +173,6 @@
     }
 }
 
-/// Checks, shortly after a connection was lost, whether its endpoint crashed: a
-/// live endpoint accepts a new connection.
-///
-/// After a crash, the request becomes a suspect in the quarantine, and the
-/// crash is reported to other gateways. `received` is the time at which the head of
-/// the response was received, if it was.
-pub(crate) fn check_for_crash(
-    gateway: &Rc<Gateway>,
-    context: &Rc<RequestContext>,
-    handle: &Rc<EndpointHandle>,
-    received: Option<Millis>,
-) {
-    let (gateway, handle, context) = (gateway.clone(), handle.clone(), context.clone());
-    let lost = gateway.now();
-    spawn_local(async move {
-        sleep(CRASH_CHECK_DELAY).await;
-        if handle.pool.try_connect().await {
-            return;
-        }
-        let now = gateway.now();
-        let fingerprint = context.fingerprint;
-        handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
-        log_crash(&context, &handle, received.map(|it| lost.since(it)));
-        if gateway.quarantine.borrow_mut().record_crash(fingerprint, handle.node(), now) {
-            spdlog::info!("crasher: fingerprint={fingerprint:016x} endpoint={}", handle.id());
-            gateway.peers.borrow_mut().report_crash(fingerprint, handle.node(), now);
-        }
-    });
-}
-
-/// Logs that a request was in flight at an endpoint that crashed; `responding_ms` is the
-/// time for which the endpoint had been responding to it.
-fn log_crash(context: &RequestContext, handle: &EndpointHandle, responding_ms: Option<u64>) {
-    let parts: Vec<String> =
-        context.metadata.prompt.iter().map(|it| format!("{:x}", it.id)).collect();
-    spdlog::info!(
-        "crash: id={} endpoint={} responding_ms={responding_ms:?} parts={}",
-        context.metadata.attempt_id,
-        handle.id(),
-        parts.join(",")
-    );
-}
-
 /// Logs an attempt that was given up since its endpoint was silent.
 pub(crate) fn log_silence(
     gateway: &Gateway,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -13,11 +13,11 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{Attempt, AttemptError, OpenResponse, check_for_crash, log_failure, log_silence},
+    attempt::{Attempt, AttemptError, OpenResponse, log_failure, log_silence},
     error_response::{Code, ErrorResponse},
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
-    relay,
+    quarantine, relay,
     request::RequestContext,
     retry_state::RetryState,
     selection::{self, MIN_REMAINING_MS, Selection},
@@ -48,9 +48,8 @@
     context: Rc<RequestContext>,
 ) -> Result<Response<ReplyBody>, ErrorResponse> {
     gateway.retry_budget.borrow_mut().record_request(&context.service, gateway.now());
-    let quarantine = gateway.settings.policy.quarantine;
-    if quarantine && gateway.quarantine.borrow().is_refused(context.fingerprint, gateway.now()) {
-        return Err(ErrorResponse::from_code(Code::Crasher));
+    if let Some(retry_ms) = quarantine::find_refusal(gateway, &context) {
+        return Err(ErrorResponse::with_retry_after(Code::Crasher, retry_ms));
     }
     let mut retry_state = RetryState { build: context.build, ..RetryState::default() };
     let progress = if context.build.is_some() { Progress::Started } else { Progress::New };
@@ -174,7 +173,7 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(_)) => {
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
-            check_for_crash(gateway, context, &handle, Some(received));
+            quarantine::check_for_crash(gateway, context, &handle, Some(received));
             return Err(log_failure(
                 gateway,
                 context,
@@ -203,7 +202,7 @@
         if is_error { Outcome::Failed } else { Outcome::Answered },
         now,
     );
-    gateway.quarantine.borrow_mut().clear_suspect(context.fingerprint);
+    quarantine::clear(gateway, context, head.status.is_success());
     spdlog::info!(
         "request: id={} route={} endpoint={} status={} bytes={} elapsed_ms={}",
         context.metadata.attempt_id,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
     FleetConfig, Position,
     builds::Builds,
     config::RouteTable,
+    crashing_parts::CrashingParts,
     endpoints::Endpoints,
     history::History,
     prefix_cache::CachedPrefixes,
@@ -64,6 +65,8 @@
     /// Requests that may have crashed endpoints, by fingerprint; a crash is
     /// identified by the node number of the endpoint's incarnation.
     pub(crate) quarantine: RefCell<Quarantine<u64>>,
+    /// Prompt parts that may have crashed endpoints.
+    pub(crate) crashing_parts: RefCell<CrashingParts>,
     pub(crate) cached_prefixes: RefCell<CachedPrefixes>,
     /// Builds that endpoints have had lately.
     pub(crate) builds: RefCell<Builds>,
@@ -126,6 +129,7 @@
             endpoint_table: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::new(Quarantine::with_retention(CRASH_RETENTION_MS)),
+            crashing_parts: RefCell::default(),
             cached_prefixes: RefCell::default(),
             builds: RefCell::default(),
             stream_origins: RefCell::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -21,7 +21,7 @@
     gateway::Gateway,
     loads::{LoadSample, Outcomes},
     messages::{Heartbeat, Message},
-    origins, sync,
+    origins, quarantine, sync,
 };
 
 /// Maximum number of other gateways named in a heartbeat of a small fleet.
@@ -134,6 +134,8 @@
         samples,
         outcomes,
         crashes: peers.crash_reports(),
+        suspects: peers.suspect_reports(now),
+        sound_parts: peers.sound_parts(),
         known_peers: peers.ready(now).take(if is_large { 1 } else { MAX_KNOWN_PEERS }).collect(),
         failure_report: peers.failure_report(now),
     }
@@ -163,6 +165,10 @@
                 origins::answer_query(&gateway, *from.ip(), attempt);
                 continue;
             }
+            Ok(Message::Suspects(suspects)) => {
+                quarantine::apply_reports(&gateway, &suspects, &[], gateway.now());
+                continue;
+            }
             Ok(Message::Heartbeat(heartbeat)) => {
                 handle_heartbeat(&gateway, *from.ip(), heartbeat);
             }
@@ -185,6 +191,7 @@
     for crash in &heartbeat.crashes {
         gateway.quarantine.borrow_mut().record_crash(crash.fingerprint, crash.endpoint, now);
     }
+    quarantine::apply_reports(gateway, &heartbeat.suspects, &heartbeat.sound_parts, now);
     let table = gateway.endpoint_table.borrow();
     for sample in &heartbeat.samples {
         table.apply_sample(sample, now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `retry_state` | what has been tried for one request |
 //! | `selection` | selects the endpoint for each attempt, or none under overload |
 //! | `silence` | gives up a silent endpoint only for another one |
+//! | `quarantine` | finds out what crashes endpoints, and refuses it |
 //! | `relay` | forwards a stream and resumes it at another endpoint |
 //! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
@@ -50,6 +51,7 @@
 mod origins;
 mod peers;
 mod pool;
+mod quarantine;
 mod relay;
 mod request;
 mod retry_state;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -3,7 +3,8 @@
 use std::net::Ipv4Addr;
 
 use mimosaledge_policy::{
-    Position, endpoints::Change, membership::FailureReport, stream_origins::StreamOrigin,
+    Position, crashing_parts::CrashSuspect, endpoints::Change, membership::FailureReport,
+    stream_origins::StreamOrigin,
 };
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +23,14 @@
     pub(crate) endpoint: u64,
 }
 
+/// A suspect of a crash, with the time since the crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SuspectReport {
+    pub(crate) suspect: CrashSuspect,
+    /// Time since the crash, in milliseconds.
+    pub(crate) age_ms: u64,
+}
+
 /// Identifies the configuration and endpoint list that a gateway has.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct StateSummary {
@@ -80,6 +89,8 @@
     StreamOrigin(StreamOrigin),
     /// Asks for the origin of the stream that an attempt, given by its hash, began.
     OriginQuery(u64),
+    /// Sent by a gateway that has seen an endpoint crash, before the next heartbeat.
+    Suspects(Vec<SuspectReport>),
 }
 
 /// The periodic report of one gateway.
@@ -98,6 +109,10 @@
     pub(crate) outcomes: Vec<Outcomes>,
     /// Requests that were in flight at an endpoint when it crashed.
     pub(crate) crashes: Vec<CrashReport>,
+    /// Prompt parts to which an endpoint had just begun to respond when it crashed.
+    pub(crate) suspects: Vec<SuspectReport>,
+    /// Suspects with which a request has completed since.
+    pub(crate) sound_parts: Vec<u64>,
     /// Some of the other gateways that accept requests.
     pub(crate) known_peers: Vec<Ipv4Addr>,
     /// Gateways that it suspects to have failed, and those recently marked as
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,13 +4,14 @@
 
 use mimosaledge_core::{Millis, hash::hash64};
 use mimosaledge_policy::{
+    crashing_parts::CrashSuspect,
     membership::{FailureReport, Membership, ring_position},
     stream_origins,
 };
 
 use crate::{
     loads::{Loads, Outcomes, RequestCount},
-    messages::{CrashReport, Heartbeat, StateSummary},
+    messages::{CrashReport, Heartbeat, StateSummary, SuspectReport},
     settings::Settings,
 };
 
@@ -19,7 +20,7 @@
 /// Interval after which a gateway prefers another peer to sync from, in
 /// milliseconds.
 const SOURCE_ROTATION_MS: u64 = 1_000;
-/// Maximum number of crash reports in one heartbeat.
+/// Maximum number of crash reports, suspects and sound parts each in one heartbeat.
 const MAX_CRASHES: usize = 24;
 
 /// The last state that another gateway has reported.
@@ -43,6 +44,10 @@
     peers: HashMap<Ipv4Addr, Peer>,
     /// Crash reports to send, with the time at which each was added.
     crashes: Vec<(CrashReport, Millis)>,
+    /// Suspects of crashes to send, with the time of the crash.
+    suspects: Vec<(CrashSuspect, Millis)>,
+    /// Parts to send that are suspects no longer, with the time at which each was cleared.
+    sound_parts: Vec<(u64, Millis)>,
     /// Whether the next round must reach all peers, also in a large fleet.
     is_urgent: bool,
     /// Whether this gateway was ready in the last round.
@@ -60,6 +65,8 @@
             membership: Membership::new(settings.address, settings.policy.mesh_peers),
             peers: HashMap::new(),
             crashes: Vec::new(),
+            suspects: Vec::new(),
+            sound_parts: Vec::new(),
             is_urgent: false,
             was_ready: false,
             has_stale_totals: false,
@@ -174,6 +181,30 @@
         self.crashes.iter().rev().take(MAX_CRASHES).map(|(crash, _)| *crash).collect()
     }
 
+    /// Adds a suspect of a crash at the time `at` to the next heartbeats.
+    pub(crate) fn report_suspect(&mut self, suspect: CrashSuspect, at: Millis) {
+        self.suspects.push((suspect, at));
+    }
+
+    /// Returns the suspects to send, the latest first.
+    pub(crate) fn suspect_reports(&self, now: Millis) -> Vec<SuspectReport> {
+        let to_report = |(suspect, at): &(CrashSuspect, Millis)| SuspectReport {
+            suspect: *suspect,
+            age_ms: now.since(*at),
+        };
+        self.suspects.iter().rev().take(MAX_CRASHES).map(to_report).collect()
+    }
+
+    /// Adds parts that are suspects no longer to the next heartbeats.
+    pub(crate) fn report_sound(&mut self, parts: Vec<u64>, now: Millis) {
+        self.sound_parts.extend(parts.into_iter().map(|it| (it, now)));
+    }
+
+    /// Returns the parts to send that are suspects no longer, the latest first.
+    pub(crate) fn sound_parts(&self) -> Vec<u64> {
+        self.sound_parts.iter().rev().take(MAX_CRASHES).map(|(part, _)| *part).collect()
+    }
+
     /// Returns the report of suspected and failed gateways to send.
     pub(crate) fn failure_report(&self, now: Millis) -> FailureReport {
         self.membership.failure_report(now)
@@ -217,6 +248,8 @@
         now: Millis,
     ) -> Vec<Ipv4Addr> {
         self.crashes.retain(|(_, at)| now.since(*at) < CRASH_GOSSIP_MS);
+        self.suspects.retain(|(_, at)| now.since(*at) < CRASH_GOSSIP_MS);
+        self.sound_parts.retain(|(_, at)| now.since(*at) < CRASH_GOSSIP_MS);
         for address in self.membership.remove_silent(now) {
             self.peers.remove(&address);
         }
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,143 @@
+//! Finds out which requests and prompt parts crash endpoints, and refuses them.
+
+use std::{rc::Rc, time::Duration};
+
+use mimosaledge_core::{Millis, quarantine::QuarantineStatus};
+use mimosaledge_policy::{
+    crashing_parts::{CrashSuspect, MAX_RESPONDING_MS},
+    health::Outcome,
+};
+use tokio::{task::spawn_local, time::sleep};
+
+use crate::{
+    endpoint_handle::EndpointHandle,
+    gateway::Gateway,
+    gossip,
+    messages::{Message, SuspectReport},
+    request::RequestContext,
+};
+
+/// Delay between the loss of a connection and the connection attempt that shows
+/// whether its endpoint crashed.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
+
+/// Checks, shortly after a connection was lost, whether its endpoint crashed: a
+/// live endpoint accepts a new connection.
+///
+/// After a crash, the request and the parts of its prompt become suspects, and the
+/// crash is reported to other gateways. `received` is the time at which the head of
+/// the response was received, if it was.
+pub(crate) fn check_for_crash(
+    gateway: &Rc<Gateway>,
+    context: &Rc<RequestContext>,
+    handle: &Rc<EndpointHandle>,
+    received: Option<Millis>,
+) {
+    let (gateway, handle, context) = (gateway.clone(), handle.clone(), context.clone());
+    let lost = gateway.now();
+    spawn_local(async move {
+        sleep(CRASH_CHECK_DELAY).await;
+        if handle.pool.try_connect().await {
+            return;
+        }
+        let now = gateway.now();
+        handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
+        let responding_ms = received.map(|it| lost.since(it));
+        log_crash(&context, &handle, responding_ms);
+        record_request(&gateway, &context, &handle);
+        if responding_ms.is_some_and(|it| it <= MAX_RESPONDING_MS) {
+            record_parts(&gateway, &context, &handle, lost);
+        }
+    });
+}
+
+/// Logs that a request was in flight at an endpoint that crashed; `responding_ms` is the
+/// time for which the endpoint had been responding to it.
+fn log_crash(context: &RequestContext, handle: &EndpointHandle, responding_ms: Option<u64>) {
+    let parts: Vec<String> =
+        context.metadata.prompt.iter().map(|it| format!("{:x}", it.id)).collect();
+    spdlog::info!(
+        "crash: id={} endpoint={} responding_ms={responding_ms:?} parts={}",
+        context.metadata.attempt_id,
+        handle.id(),
+        parts.join(",")
+    );
+}
+
+fn record_request(gateway: &Gateway, context: &RequestContext, handle: &EndpointHandle) {
+    let (fingerprint, now) = (context.fingerprint, gateway.now());
+    if gateway.quarantine.borrow_mut().record_crash(fingerprint, handle.node(), now) {
+        spdlog::info!("crasher: fingerprint={fingerprint:016x} endpoint={}", handle.id());
+        gateway.peers.borrow_mut().report_crash(fingerprint, handle.node(), now);
+    }
+}
+
+/// Records the parts of a prompt as suspects, and tells all other gateways at once; the
+/// next heartbeats repeat it.
+fn record_parts(gateway: &Gateway, context: &RequestContext, handle: &EndpointHandle, at: Millis) {
+    let now = gateway.now();
+    let mut reports = Vec::new();
+    for (depth, part) in context.shared_parts.iter().enumerate() {
+        let depth = u8::try_from(depth).unwrap_or(u8::MAX);
+        let suspect = CrashSuspect { part: *part, depth, crash: handle.node() };
+        if gateway.crashing_parts.borrow_mut().record_crash(suspect, at) {
+            gateway.peers.borrow_mut().report_suspect(suspect, at);
+            reports.push(SuspectReport { suspect, age_ms: now.since(at) });
+        }
+    }
+    if !reports.is_empty() {
+        let recipients = gateway.peers.borrow().urgent_recipients(now);
+        gossip::send_now(gateway, &Message::Suspects(reports), &recipients);
+    }
+}
+
+/// Applies what another gateway has reported.
+pub(crate) fn apply_reports(
+    gateway: &Gateway,
+    suspects: &[SuspectReport],
+    sound_parts: &[u64],
+    now: Millis,
+) {
+    let mut parts = gateway.crashing_parts.borrow_mut();
+    for report in suspects {
+        parts.record_crash(report.suspect, now - report.age_ms);
+    }
+    if !sound_parts.is_empty() {
+        parts.record_completion(sound_parts, now);
+    }
+}
+
+/// Records that a request has completed, so that it is no suspect any more; if it has
+/// succeeded, the parts of its prompt are sound as well.
+pub(crate) fn clear(gateway: &Gateway, context: &RequestContext, succeeded: bool) {
+    gateway.quarantine.borrow_mut().clear_suspect(context.fingerprint);
+    if !succeeded {
+        return;
+    }
+    let now = gateway.now();
+    let cleared = gateway.crashing_parts.borrow_mut().record_completion(&context.shared_parts, now);
+    if !cleared.is_empty() {
+        gateway.peers.borrow_mut().report_sound(cleared, now);
+    }
+}
+
+/// Returns the time until a request may be sent again, in milliseconds, if it or a part of
+/// its prompt is refused.
+pub(crate) fn find_refusal(gateway: &Gateway, context: &RequestContext) -> Option<u64> {
+    if !gateway.settings.policy.quarantine {
+        return None;
+    }
+    let now = gateway.now();
+    let status = gateway.quarantine.borrow().status(context.fingerprint, now);
+    if let QuarantineStatus::Refused(retry_ms) = status {
+        return Some(retry_ms);
+    }
+    let culprit = gateway.crashing_parts.borrow().find_refused(&context.shared_parts, now)?;
+    spdlog::info!(
+        "quarantine: id={} part={:x} retry_ms={}",
+        context.metadata.attempt_id,
+        culprit.part,
+        culprit.retry_ms
+    );
+    Some(culprit.retry_ms)
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,6 +24,7 @@
     loads::InFlight,
     origins,
     pool::{self, Connection},
+    quarantine,
     request::RequestContext,
     retry_state::RetryState,
     selection::{self, Selection},
@@ -244,7 +245,7 @@
         let policy = &self.gateway.settings.policy;
         handle.record_outcome(policy, Outcome::Failed, self.gateway.now());
         let received = Some(self.upstream.received);
-        attempt::check_for_crash(&self.gateway, &self.context, handle, received);
+        quarantine::check_for_crash(&self.gateway, &self.context, handle, received);
         self.retry_state.ran += 1;
     }
 
@@ -341,7 +342,7 @@
         {
             handle.pool.release(connection);
         }
-        self.gateway.quarantine.borrow_mut().clear_suspect(self.context.fingerprint);
+        quarantine::clear(&self.gateway, &self.context, true);
         self.log("complete", "");
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -45,6 +45,8 @@
     /// Hash of path, API key and body, which identifies equal requests of one
     /// client to the quarantine.
     pub(crate) fingerprint: u64,
+    /// Identifiers of the prompt's parts that other requests may share, in order.
+    pub(crate) shared_parts: Vec<u64>,
     pub(crate) arrived: Millis,
     /// When the client's deadline or the route's timeout expires.
     pub(crate) deadline: Millis,
@@ -158,6 +160,7 @@
         (service, None)
     };
     let fingerprint = fingerprint(&head, &metadata, &body);
+    let shared_parts = shared_parts(&metadata.prompt);
     let deadline = arrived + timeout_ms;
     Ok(RequestContext {
         head,
@@ -168,6 +171,7 @@
         build,
         prefix,
         fingerprint,
+        shared_parts,
         arrived,
         deadline,
     })
@@ -214,6 +218,11 @@
     Some(hash64(&last_shared.id.to_le_bytes()))
 }
 
+/// Returns the identifiers of all parts but the last, which belongs to one request.
+fn shared_parts(prompt: &[PromptPart]) -> Vec<u64> {
+    prompt.iter().rev().skip(1).rev().map(|it| it.id).collect()
+}
+
 fn fingerprint(head: &Parts, metadata: &RequestMetadata, body: &[u8]) -> u64 {
     let key = metadata.api_key.as_deref().unwrap_or_default();
     let path = head.uri.path_and_query().map_or("", |it| it.as_str());
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::{
-    endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway, request::RequestContext,
-    retry_state::RetryState,
+    endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway, quarantine,
+    request::RequestContext, retry_state::RetryState,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
@@ -54,6 +54,8 @@
     NoEndpoint,
     /// The retry budget of the service is exhausted.
     RetryBudget,
+    /// The request is quarantined.
+    Quarantined,
 }
 
 impl Unavailable {
@@ -63,6 +65,7 @@
             Unavailable::SendLimit => "send_limit",
             Unavailable::NoEndpoint => "no_endpoint",
             Unavailable::RetryBudget => "budget",
+            Unavailable::Quarantined => "quarantine",
         }
     }
 }
@@ -104,6 +107,9 @@
     if retry_state.sent >= MAX_SENDS {
         return Selection::Unavailable(Unavailable::SendLimit);
     }
+    if retry_state.sent > 0 && quarantine::find_refusal(gateway, context).is_some() {
+        return Selection::Unavailable(Unavailable::Quarantined);
+    }
     let handle = match select_endpoint(gateway, context, retry_state, progress) {
         Selection::Endpoint(handle) => handle,
         other => return other,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,12 +13,14 @@
 //! | [`admission`] | admission control for engines under overload |
 //! | [`retry_budget`] | retry budgets per service |
 //! | [`health`] | the health of an endpoint |
+//! | [`crashing_parts`] | detection of prompt parts that crash engines |
 //! | [`settings`] | settings of these policies |
 //! | [`events`] | splitting of event streams |
 
 pub mod admission;
 pub mod builds;
 pub mod config;
+pub mod crashing_parts;
 mod departures;
 pub mod endpoint;
 pub mod endpoints;
@@ -36,6 +38,7 @@
 pub mod route;
 pub mod service;
 pub mod settings;
+mod sound_parts;
 pub mod stream_origins;
 
 pub use crate::{
