Heed what endpoints say of themselves: Server-Leaving and Retry-After

An endpoint that says that it leaves gets no more requests in this incarnation, one that asks for a pause none until its end.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -113,6 +113,7 @@
     if let Some(load) = metadata.load {
         handle.record_load(load, now);
     }
+    handle.record_notices(&metadata, now);
     connection.set_idle_timeout(metadata.idle_timeout_ms);
     if metadata.attempt_id.as_ref().is_some_and(|it| *it != context.metadata.attempt_id) {
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -241,5 +241,6 @@
     };
     let jitter_ms =
         mimosaledge_core::hash::hash64(context.metadata.attempt_id.as_bytes()) % MIN_RETRY_AFTER_MS;
-    ErrorResponse::with_retry_after(code, MIN_RETRY_AFTER_MS + jitter_ms)
+    let retry_ms = MIN_RETRY_AFTER_MS.max(selection::pause_ms(gateway, context));
+    ErrorResponse::with_retry_after(code, retry_ms + jitter_ms)
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -72,6 +72,11 @@
     pub idle_timeout_ms: Option<u64>,
     /// Whether the endpoint closes the connection after the response.
     pub closing: bool,
+    /// Whether the endpoint states that it is shutting down.
+    pub leaving: bool,
+    /// Time for which the endpoint asks for no more requests, in milliseconds, if it
+    /// refused this one.
+    pub pause_ms: Option<u64>,
 }
 
 /// Translates between a platform's HTTP messages and metadata types.
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     clock::Clock,
+    dialect::ResponseMetadata,
     loads::{LoadSample, Loads},
     pool::Pool,
 };
@@ -41,6 +42,10 @@
     /// Number of this gateway's requests in flight.
     in_flight: Cell<u32>,
     reported: Cell<Option<ReportedLoad>>,
+    /// Whether the endpoint has said that it is shutting down.
+    is_leaving: Cell<bool>,
+    /// Time before which the endpoint wants no requests.
+    paused_until: Cell<Millis>,
     health: RefCell<Health>,
     /// Mean duration of the requests of the endpoint's service.
     mean_duration: Rc<Cell<MeanDuration>>,
@@ -62,6 +67,8 @@
             node,
             in_flight: Cell::new(0),
             reported: Cell::new(None),
+            is_leaving: Cell::new(false),
+            paused_until: Cell::default(),
             health: RefCell::default(),
             mean_duration,
             clock,
@@ -117,9 +124,33 @@
         }
     }
 
+    /// Records what the endpoint has said of itself in a response.
+    pub(crate) fn record_notices(&self, metadata: &ResponseMetadata, now: Millis) {
+        if metadata.leaving && !self.is_leaving.replace(true) {
+            spdlog::info!("health: endpoint={} leaving=true", self.id());
+        }
+        if let Some(pause_ms) = metadata.pause_ms {
+            spdlog::info!("health: endpoint={} pause_ms={pause_ms}", self.id());
+            self.paused_until.set(self.paused_until.get().max(now + pause_ms));
+        }
+    }
+
+    /// Returns the time for which the endpoint still wants no requests, in milliseconds.
+    pub(crate) fn pause_ms(&self) -> u64 {
+        self.paused_until.get().since(self.clock.now())
+    }
+
     /// Returns whether the endpoint may be sent new requests.
     pub(crate) fn is_open(&self) -> bool {
-        self.endpoint.borrow().state == EndpointState::Ready && self.health.borrow().is_up()
+        self.is_available() && self.pause_ms() == 0
+    }
+
+    /// Returns whether the endpoint may be sent new requests, now or after a pause that it
+    /// has asked for.
+    pub(crate) fn is_available(&self) -> bool {
+        self.endpoint.borrow().state == EndpointState::Ready
+            && self.health.borrow().is_up()
+            && !self.is_leaving.get()
     }
 
     /// Records that the endpoint has sent something after it was silent.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -129,6 +129,14 @@
     Selection::Endpoint(handle)
 }
 
+/// Returns the time until the first endpoint of the request's service ends the pause that it
+/// has asked for, in milliseconds; 0 if one has asked for none.
+pub(crate) fn pause_ms(gateway: &Gateway, context: &RequestContext) -> u64 {
+    let table = gateway.endpoint_table.borrow();
+    let available = table.of_service(&context.service).iter().filter(|it| it.is_available());
+    available.map(|it| it.pause_ms()).min().unwrap_or_default()
+}
+
 /// Selects an endpoint by load, locality, failure rate and cached prefix.
 fn select_endpoint(
     gateway: &Gateway,
