Bound the memory for responses without end

A server in trouble may send bytes without end. Each plain response was buffered up to 8 MB, so that 24 requests to such an endpoint took a gateway to 103 MB; its process has 260 MB there, and a budget of 64 MB. Heads were bounded by the client library at some 400 KB a connection, the store's responses not at all.

The test of a body without end failed before (103,012 KB). Its siblings pass before and after: responses and streams that end with their connection, streams that end inside an event, heads and events without end.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use mimosaledge_net::server::{ReplyBody, full_body};
 use mimosaledge_policy::{
@@ -14,6 +13,7 @@
 
 use crate::{
     attempt::{Attempt, AttemptError, OpenResponse, log_failure, log_silence},
+    body_buffer::{self, BodyError},
     error_response::{Code, ErrorResponse},
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
@@ -30,9 +30,6 @@
 /// Jitter of up to the same time, derived from a hash of the attempt's
 /// identifier, is added, so that refused requests are not all retried at once.
 const MIN_RETRY_AFTER_MS: u64 = 150;
-/// Maximum size of a response that is buffered before it is forwarded, in
-/// bytes.
-const MAX_BUFFERED_BYTES: usize = 8 << 20;
 /// Sends a request to endpoints until one responds or no attempt is left.
 ///
 /// Attempts that certainly did not run do not count towards the route's maximum
@@ -167,20 +164,18 @@
     let timeout_left = Duration::from_millis(context.remaining_ms(gateway.now()));
     let OpenResponse { in_flight, received, connection, mut head, metadata, body } = open;
     let handle = in_flight.handle().clone();
-    let collected = timeout(timeout_left, Limited::new(body, MAX_BUFFERED_BYTES).collect()).await;
+    let collected = timeout(timeout_left, body_buffer::receive(body, &gateway.buffer_total)).await;
     let now = gateway.now();
     let bytes = match collected {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(err)) => {
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
             quarantine::check_for_crash(gateway, context, &handle, Some(received));
-            return Err(log_failure(
-                gateway,
-                context,
-                &handle,
-                AttemptError::Unknown,
-                "response truncated or too large",
-            ));
+            let cause = match err {
+                BodyError::Truncated => "response truncated",
+                BodyError::TooLarge => "response too large",
+            };
+            return Err(log_failure(gateway, context, &handle, AttemptError::Unknown, cause));
         }
         Err(_) => {
             handle.record_outcome(&gateway.settings.policy, Outcome::Silent, now);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 };
 
 use crate::{
+    body_buffer::BufferTotal,
     clock::Clock,
     dialect::Dialect,
     drain::Drain,
@@ -67,6 +68,7 @@
     pub(crate) quarantine: RefCell<Quarantine<u64>>,
     /// Prompt parts that may have crashed endpoints.
     pub(crate) crashing_parts: RefCell<CrashingParts>,
+    pub(crate) buffer_total: BufferTotal,
     pub(crate) cached_prefixes: RefCell<CachedPrefixes>,
     /// Builds that endpoints have had lately.
     pub(crate) builds: RefCell<Builds>,
@@ -130,6 +132,7 @@
             retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::new(Quarantine::with_retention(CRASH_RETENTION_MS)),
             crashing_parts: RefCell::default(),
+            buffer_total: BufferTotal::default(),
             cached_prefixes: RefCell::default(),
             builds: RefCell::default(),
             stream_origins: RefCell::default(),
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Method, Request, Response, Uri,
     header::{CONTENT_TYPE, HOST, HeaderValue},
@@ -15,6 +15,9 @@
     pool::{Pool, SendError},
 };
 
+/// Maximum size of a response's body, in bytes.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
 /// HTTP client for one server, with a connection pool.
 #[derive(Debug)]
 pub struct HttpClient {
@@ -53,7 +56,8 @@
             })
         })?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(Error::unreachable)?.to_bytes();
+        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        let body = body.map_err(Error::unreachable)?.to_bytes();
         self.pool.release(connection);
         Ok(Response::from_parts(head, body))
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `request` | checks a request and selects its service |
 //! | `attempt` | one attempt: sends a request to one endpoint |
 //! | `attempts` | sends a request to endpoints, one after the other |
+//! | `body_buffer` | buffers the bodies of responses within a limit |
 //! | `retry_state` | what has been tried for one request |
 //! | `selection` | selects the endpoint for each attempt, or none under overload |
 //! | `silence` | gives up a silent endpoint only for another one |
@@ -27,6 +28,7 @@
 
 mod attempt;
 mod attempts;
+mod body_buffer;
 mod clock;
 mod cursor;
 mod dialect;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -9,7 +9,7 @@
 use hyper::{
     Request, Response,
     body::Incoming,
-    client::conn::http1::{SendRequest, handshake},
+    client::conn::http1::{Builder, SendRequest},
 };
 use hyper_util::rt::TokioIo;
 use mimosaledge_core::Millis;
@@ -19,6 +19,8 @@
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum size of a response's head, and of what is read at once, in bytes.
+const MAX_READ_BYTES: usize = 64 << 10;
 /// Idle time after which a connection is closed if the server reports no idle
 /// timeout, in milliseconds.
 const DEFAULT_MAX_IDLE_MS: u64 = 4_000;
@@ -162,8 +164,11 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) | Err(_) => return Err(SendError::Unreachable),
         };
-        let (sender, driver) =
-            handshake(TokioIo::new(stream)).await.map_err(|_| SendError::Unreachable)?;
+        let (sender, driver) = Builder::new()
+            .max_buf_size(MAX_READ_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| SendError::Unreachable)?;
         // Connection errors are reported through the request in flight.
         let task = tokio::task::spawn_local(async move { driver.await.unwrap_or_default() });
         let idle_since = self.clock.now();
