Search each byte of a stream for the end of its event once

An event without end stalled a gateway for more than 20 s: the incomplete event was searched from its start with each block that arrived, up to 1 MB, on the only thread, so that requests to other endpoints timed out as well (24 clients got no response in 20 s).

The search now continues where it ended, and an event may have 256 KB.

--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -5,7 +5,10 @@
 //! event: incomplete and duplicate events are dropped, and gaps are detected.
 
 /// Maximum size of an incomplete event that is buffered, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// Length of the longest terminator of an event, in bytes.
+const MAX_TERMINATOR_BYTES: usize = 4;
 
 /// Why a stream cannot be continued.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,6 +23,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: Vec<u8>,
+    /// Length of the start of the buffer in which no event ends.
+    searched: usize,
     last_id: Option<u64>,
     /// Whether no new event has arrived since the last restart.
     is_resuming: bool,
@@ -29,7 +34,7 @@
     /// Creates a splitter for a stream that continues after the event
     /// `last_id`.
     pub fn after(last_id: Option<u64>) -> EventSplitter {
-        EventSplitter { buffer: Vec::new(), last_id, is_resuming: false }
+        EventSplitter { last_id, ..EventSplitter::default() }
     }
 
     /// Returns the number of the last complete event.
@@ -47,6 +52,7 @@
     /// last complete one.
     pub fn restart(&mut self) {
         self.buffer.clear();
+        self.searched = 0;
         self.is_resuming = true;
     }
 
@@ -60,14 +66,18 @@
     pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), StreamError> {
         self.buffer.extend_from_slice(bytes);
         let mut start = 0;
-        while let Some(length) = event_length(&self.buffer[start..]) {
+        // The end of an event may have been received in part.
+        let mut search_from = self.searched.saturating_sub(MAX_TERMINATOR_BYTES - 1);
+        while let Some(length) = event_length(&self.buffer[start..], search_from) {
             let event = &self.buffer[start..start + length];
             if check_sequence(event, &mut self.last_id, &mut self.is_resuming)? {
                 out.extend_from_slice(event);
             }
             start += length;
+            search_from = 0;
         }
         self.buffer.drain(..start);
+        self.searched = self.buffer.len();
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(StreamError::TooLarge);
         }
@@ -102,13 +112,12 @@
     Ok(true)
 }
 
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let lf = find(bytes, b"\n\n").map(|at| at + 2);
-    let crlf = find(bytes, b"\r\n\r\n").map(|at| at + 4);
-    match (lf, crlf) {
-        (Some(a), Some(b)) => Some(a.min(b)),
-        (a, b) => a.or(b),
-    }
+/// Returns the length of the first event, which ends after `search_from` bytes.
+fn event_length(bytes: &[u8], search_from: usize) -> Option<usize> {
+    let unsearched = &bytes[search_from..];
+    let lf = find(unsearched, b"\n\n").map(|at| search_from + at + 2);
+    let before_lf = &bytes[search_from..lf.unwrap_or(bytes.len())];
+    find(before_lf, b"\r\n\r\n").map(|at| search_from + at + 4).or(lf)
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
