Withdraw requests that were given up from a link that is cut

Cause: a connection was closed on a cut link, and the operating system retransmitted the request once the link worked again. Ruled out: a second attempt (the log has none).

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -158,6 +158,7 @@
         let connecting = async {
             let stream = TcpStream::connect(self.address).await?;
             socket::set_options(&stream)?;
+            socket::reset_on_close(&stream)?;
             Ok::<_, std::io::Error>(stream)
         };
         let stream = match timeout(CONNECT_TIMEOUT, connecting).await {
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -35,6 +35,12 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// Resets the connection when it is closed, so that a request that was given up is not
+/// retransmitted: a cut link would deliver it once it works again.
+pub(crate) fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 /// Opens a listening socket.
 pub(crate) fn listen(address: SocketAddrV4) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
