Keep refusing a part of prompts after many crashes

A part with 64 crashes on record took no more, so that it would have been sent to engines without end once its quarantine had passed; found on reading. The oldest crash now gives way. Suspects with too few crashes are no longer weighed, since each report weighs all of them. The new case failed before.

--- a/crates/policy/src/crashing_parts.rs
+++ b/crates/policy/src/crashing_parts.rs
@@ -33,7 +33,7 @@
 const RETENTION_MS: u64 = 2 * 3_600_000;
 /// Maximum number of suspects; the one with the oldest last crash is evicted first.
 const MAX_SUSPECTS: usize = 4_096;
-/// Maximum number of crashes that are kept for one suspect.
+/// Maximum number of crashes that are kept for one suspect, the latest.
 const MAX_CRASHES: usize = 64;
 
 /// A part of a request to which an engine had begun to respond when it crashed.
@@ -106,12 +106,17 @@
         self.evict_if_full(at);
         let CrashSuspect { part, depth, crash } = suspect;
         let entry = self.suspects.entry(part).or_insert(Suspect { depth, crashes: Vec::new() });
-        if entry.crashes.len() >= MAX_CRASHES || entry.crashes.iter().any(|it| it.id == crash) {
+        if entry.crashes.iter().any(|it| it.id == crash) {
             return false;
         }
+        if entry.crashes.len() >= MAX_CRASHES {
+            entry.crashes.remove(0);
+        }
         let index = entry.crashes.partition_point(|it| it.at <= at);
         entry.crashes.insert(index, Crash { id: crash, at, counts: true });
-        self.find_culprits();
+        if entry.crashes.len() >= CRASH_LIMIT {
+            self.find_culprits();
+        }
         true
     }
 
@@ -149,7 +154,11 @@
         self.culprits.clear();
         let mut explained = HashSet::new();
         loop {
-            let candidates = self.suspects.iter().filter(|(it, _)| !self.culprits.contains_key(it));
+            let candidates = self
+                .suspects
+                .iter()
+                .filter(|(_, it)| it.crashes.len() >= CRASH_LIMIT)
+                .filter(|(part, _)| !self.culprits.contains_key(part));
             let strongest = candidates
                 .map(|(part, suspect)| (suspect.count(&explained), *part, suspect))
                 .filter(|(count, _, _)| *count >= CRASH_LIMIT)
--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -31,6 +31,7 @@
     engines_that_crash_together_count_once => common_cause_case();
     sound_part_is_refused_only_briefly => sound_part_case();
     part_that_crashes_again_after_its_quarantine_is_refused_at_once => second_quarantine_case();
+    part_with_many_crashes_stays_refused => many_crashes_case();
 }
 
 fn suspect(part: u64, depth: u8, crash: u64) -> CrashSuspect {
@@ -134,3 +135,14 @@
     let culprit = parts.find_refused(&[CRASHING], released).unwrap();
     assert_eq!(culprit.retry_ms, 240_000);
 }
+
+fn many_crashes_case() {
+    let mut parts = CrashingParts::default();
+    crash(&mut parts, 0..200, &[(CRASHING, 1)]);
+    let after_last = NOW + 200 * 500 + 60_000;
+    assert!(is_refused(&parts, CRASHING, after_last));
+    let much_later = NOW + 2 * 3_600_000;
+    assert!(!is_refused(&parts, CRASHING, much_later));
+    parts.record_crash(suspect(CRASHING, 1, 900), much_later);
+    assert!(is_refused(&parts, CRASHING, much_later));
+}
