--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -30,6 +30,7 @@
 /// Jitter of up to the same time, derived from a hash of the attempt's
 /// identifier, is added, so that refused requests are not all retried at once.
 const MIN_RETRY_AFTER_MS: u64 = 150;
+
 /// Sends a request to endpoints until one responds or no attempt is left.
 ///
 /// Attempts that certainly did not run do not count towards the route's maximum
