--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -77,6 +77,9 @@
     /// Time for which the endpoint asks for no more requests, in milliseconds, if it
     /// refused this one.
     pub pause_ms: Option<u64>,
+    /// Requests per second that the endpoint accepts from all gateways together, if it
+    /// limits them.
+    pub rate_limit: Option<f64>,
 }
 
 /// Translates between a platform's HTTP messages and metadata types.
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -46,6 +46,9 @@
     is_leaving: Cell<bool>,
     /// Time before which the endpoint wants no requests.
     paused_until: Cell<Millis>,
+    /// Requests per second that the endpoint accepts from all gateways together, if it
+    /// limits them.
+    rate_limit: Cell<Option<f64>>,
     health: RefCell<Health>,
     /// Mean duration of the requests of the endpoint's service.
     mean_duration: Rc<Cell<MeanDuration>>,
@@ -69,6 +72,7 @@
             reported: Cell::new(None),
             is_leaving: Cell::new(false),
             paused_until: Cell::default(),
+            rate_limit: Cell::default(),
             health: RefCell::default(),
             mean_duration,
             clock,
@@ -133,6 +137,11 @@
             spdlog::info!("health: endpoint={} pause_ms={pause_ms}", self.id());
             self.paused_until.set(self.paused_until.get().max(now + pause_ms));
         }
+        let previous = self.rate_limit.replace(metadata.rate_limit);
+        if previous != metadata.rate_limit {
+            let limit = metadata.rate_limit;
+            spdlog::info!("health: endpoint={} rate_limit={limit:?}", self.id());
+        }
     }
 
     /// Returns the time for which the endpoint still wants no requests, in milliseconds.
