Move the request context and the sender of datagrams below their users

Nine files of the gateway imported each other in a ring (attempt, attempts, gossip, origins, quarantine, relay, request, selection, silence), since two types stood in files at its top. No file of the ring imports itself through others any more; pairs remain (dialect and error_response, endpoint_handle and loads, gateway and metrics).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,7 @@
     loads::InFlight,
     pool::{Connection, SendError},
     quarantine,
-    request::RequestContext,
+    request_context::RequestContext,
     selection,
 };
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -18,7 +18,7 @@
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     quarantine, relay,
-    request::RequestContext,
+    request_context::RequestContext,
     retry_state::RetryState,
     selection::{self, MIN_REMAINING_MS, Selection},
     silence::{Waited, Waiting},
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -18,6 +18,7 @@
 use tokio::{net::UdpSocket, task::spawn_local, time};
 
 use crate::{
+    datagrams,
     gateway::Gateway,
     loads::{LoadSample, Outcomes},
     messages::{Heartbeat, Message},
@@ -32,8 +33,6 @@
 const MAX_OUTCOMES: usize = 8;
 /// Size of the receive buffer, which bounds the payload of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
-/// Bytes of IP and UDP headers per datagram.
-const DATAGRAM_HEADER_BYTES: usize = 28;
 /// Delay after a failure to receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -52,10 +51,10 @@
 /// milliseconds.
 pub(crate) async fn send_round(gateway: &Gateway, socket: &UdpSocket, round: u64) -> u64 {
     let now = gateway.now();
-    if let Some(bytes) = encode(&Message::Heartbeat(build_heartbeat(gateway, now))) {
+    if let Some(bytes) = datagrams::encode(&Message::Heartbeat(build_heartbeat(gateway, now))) {
         let ready = gateway.is_ready();
         let recipients = gateway.peers.borrow_mut().begin_round(round, ready, bytes.len(), now);
-        send(gateway, socket, &bytes, &recipients).await;
+        datagrams::send(gateway, socket, &bytes, &recipients).await;
     }
     gateway.peers.borrow().round_interval_ms()
 }
@@ -71,41 +70,11 @@
     if batch.changes.is_empty() && !gateway.has_unsent_summary.take() {
         return;
     }
-    let Some(bytes) = encode(&Message::Changes(gateway.state_summary(), batch)) else { return };
+    let Some(bytes) = datagrams::encode(&Message::Changes(gateway.state_summary(), batch)) else {
+        return;
+    };
     let recipients = gateway.peers.borrow().urgent_recipients(gateway.now());
-    send(gateway, socket, &bytes, &recipients).await;
-}
-
-fn encode(message: &Message) -> Option<Vec<u8>> {
-    let encoded = postcard::to_stdvec(message);
-    encoded.inspect_err(|err| spdlog::error!("peer: cannot encode datagram, cause={err}")).ok()
-}
-
-async fn send(gateway: &Gateway, socket: &UdpSocket, bytes: &[u8], to: &[Ipv4Addr]) {
-    let port = gateway.settings.listen.peers;
-    for address in to {
-        // Lost datagrams are not resent; a later heartbeat supersedes them.
-        let _ = socket.send_to(bytes, (*address, port)).await;
-    }
-    count_sent(gateway, bytes, to);
-}
-
-/// Sends a message without waiting for space in the socket's buffer.
-pub(crate) fn send_now(gateway: &Gateway, message: &Message, to: &[Ipv4Addr]) {
-    let Some(socket) = gateway.peer_socket.get() else { return };
-    let Some(bytes) = encode(message) else { return };
-    let port = gateway.settings.listen.peers;
-    for address in to {
-        if let Err(err) = socket.try_send_to(&bytes, (*address, port).into()) {
-            spdlog::warn!("peer: datagram not sent, address={address} cause={err}");
-        }
-    }
-    count_sent(gateway, &bytes, to);
-}
-
-fn count_sent(gateway: &Gateway, bytes: &[u8], to: &[Ipv4Addr]) {
-    let sent = (bytes.len() + DATAGRAM_HEADER_BYTES) * to.len();
-    gateway.metrics.peer_bytes.with_label_values(&["sent"]).inc_by(sent as u64);
+    datagrams::send(gateway, socket, &bytes, &recipients).await;
 }
 
 fn build_heartbeat(gateway: &Gateway, now: Millis) -> Heartbeat {
@@ -153,8 +122,7 @@
                 continue;
             }
         };
-        let received = (length + DATAGRAM_HEADER_BYTES) as u64;
-        gateway.metrics.peer_bytes.with_label_values(&["received"]).inc_by(received);
+        datagrams::count_received(&gateway, length);
         let SocketAddr::V4(from) = from else { continue };
         match postcard::from_bytes::<Message>(&buffer[..length]) {
             Ok(Message::StreamOrigin(origin)) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | `listener` | accepts client connections |
 //! | `request` | checks a request and selects its service |
+//! | `request_context` | an authorized request, for the modules below |
 //! | `attempt` | one attempt: sends a request to one endpoint |
 //! | `attempts` | sends a request to endpoints, one after the other |
 //! | `body_buffer` | buffers the bodies of responses within a limit |
@@ -21,6 +22,7 @@
 //! | `origins` | finds the build that began a stream that a client resumes |
 //! | `follow_config`, `follow`, `cursor` | read the configuration and lists from the store |
 //! | `gossip`, `messages`, `peers` | exchange heartbeats with the other gateways |
+//! | `datagrams` | sends messages to other gateways |
 //! | `sync` | fetches missing state from another gateway |
 //! | `gateway` | holds the state that these modules share |
 //! | `endpoint_list` | applies changes of the endpoint list to that state |
@@ -31,6 +33,7 @@
 mod body_buffer;
 mod clock;
 mod cursor;
+mod datagrams;
 mod dialect;
 mod directory;
 mod drain;
@@ -56,6 +59,7 @@
 mod quarantine;
 mod relay;
 mod request;
+mod request_context;
 mod retry_state;
 mod run;
 mod selection;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,11 +10,11 @@
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
+    datagrams,
     endpoint_handle::EndpointHandle,
     gateway::Gateway,
-    gossip,
     messages::{Message, SuspectReport},
-    request::RequestContext,
+    request_context::RequestContext,
 };
 
 /// Delay between the loss of a connection and the connection attempt that shows
@@ -87,7 +87,7 @@
     }
     if !reports.is_empty() {
         let recipients = gateway.peers.borrow().urgent_recipients(now);
-        gossip::send_now(gateway, &Message::Suspects(reports), &recipients);
+        datagrams::send_now(gateway, &Message::Suspects(reports), &recipients);
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,7 +25,7 @@
     origins,
     pool::{self, Connection},
     quarantine,
-    request::RequestContext,
+    request_context::RequestContext,
     retry_state::RetryState,
     selection::{self, Selection},
     silence::{self, Waited, Waiting},
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,7 +3,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use hyper::{Request, Response, body::Incoming, header::HOST, http::request::Parts};
 use mimosaledge_core::{
     Millis, Name,
@@ -11,7 +10,7 @@
 };
 use mimosaledge_net::server::{ReplyBody, read_body};
 use mimosaledge_policy::{
-    RetryPolicy, Route,
+    RetryPolicy,
     config::{AuthorizedRequest, Denial},
 };
 use tokio::time::timeout;
@@ -22,48 +21,13 @@
     error_response::{Code, ErrorResponse},
     gateway::Gateway,
     origins,
+    request_context::RequestContext,
 };
 
 /// Retry delay for clients while the gateway has no configuration, an outdated
 /// one, or no service for the route, in milliseconds.
 const CONFIG_RETRY_MS: u64 = 300;
 
-/// An authorized request with its body and routing data.
-#[derive(Debug)]
-pub(crate) struct RequestContext {
-    pub(crate) head: Parts,
-    pub(crate) metadata: RequestMetadata,
-    pub(crate) body: Bytes,
-    pub(crate) authorized: AuthorizedRequest,
-    /// The service, selected from those of the route.
-    pub(crate) service: Name,
-    /// Key of the build that began the stream, if the request resumes one.
-    pub(crate) build: Option<u64>,
-    /// Hash that identifies the prompt prefix that engines may have cached, if
-    /// the route is sticky and the request has a prompt.
-    pub(crate) prefix: Option<u64>,
-    /// Hash of path, API key and body, which identifies equal requests of one
-    /// client to the quarantine.
-    pub(crate) fingerprint: u64,
-    /// Identifiers of the prompt's parts that other requests may share, in order.
-    pub(crate) shared_parts: Vec<u64>,
-    pub(crate) arrived: Millis,
-    /// When the client's deadline or the route's timeout expires.
-    pub(crate) deadline: Millis,
-}
-
-impl RequestContext {
-    /// Returns the route.
-    pub(crate) fn route(&self) -> &Route {
-        &self.authorized.route
-    }
-
-    /// Returns the time until the deadline, in milliseconds.
-    pub(crate) fn remaining_ms(&self, now: Millis) -> u64 {
-        self.deadline.since(now)
-    }
-}
-
 /// Logs a request that is dropped before it has a response.
 struct CancelLog {
     gateway: Rc<Gateway>,
--- /dev/null
+++ b/crates/gateway/src/request_context.rs
@@ -0,0 +1,44 @@
+//! An authorized request, as the modules that serve it see it.
+
+use bytes::Bytes;
+use hyper::http::request::Parts;
+use mimosaledge_core::{Millis, Name};
+use mimosaledge_policy::{Route, config::AuthorizedRequest};
+
+use crate::dialect::RequestMetadata;
+
+/// An authorized request with its body and routing data.
+#[derive(Debug)]
+pub(crate) struct RequestContext {
+    pub(crate) head: Parts,
+    pub(crate) metadata: RequestMetadata,
+    pub(crate) body: Bytes,
+    pub(crate) authorized: AuthorizedRequest,
+    /// The service, selected from those of the route.
+    pub(crate) service: Name,
+    /// Key of the build that began the stream, if the request resumes one.
+    pub(crate) build: Option<u64>,
+    /// Hash that identifies the prompt prefix that engines may have cached, if
+    /// the route is sticky and the request has a prompt.
+    pub(crate) prefix: Option<u64>,
+    /// Hash of path, API key and body, which identifies equal requests of one
+    /// client to the quarantine.
+    pub(crate) fingerprint: u64,
+    /// Identifiers of the prompt's parts that other requests may share, in order.
+    pub(crate) shared_parts: Vec<u64>,
+    pub(crate) arrived: Millis,
+    /// When the client's deadline or the route's timeout expires.
+    pub(crate) deadline: Millis,
+}
+
+impl RequestContext {
+    /// Returns the route.
+    pub(crate) fn route(&self) -> &Route {
+        &self.authorized.route
+    }
+
+    /// Returns the time until the deadline, in milliseconds.
+    pub(crate) fn remaining_ms(&self, now: Millis) -> u64 {
+        self.deadline.since(now)
+    }
+}
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway, quarantine,
-    request::RequestContext, retry_state::RetryState,
+    request_context::RequestContext, retry_state::RetryState,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -14,7 +14,7 @@
     attempt::{Attempt, AttemptError, OpenResponse},
     endpoint_handle::EndpointHandle,
     gateway::Gateway,
-    request::RequestContext,
+    request_context::RequestContext,
     retry_state::RetryState,
     selection::{self, Selection},
 };
