Keep the rate limits of endpoints with permits from one gateway each

Cause: the limit was read nowhere. It belongs to all gateways together, so that no gateway can keep it by itself: an equal share a gateway was ruled out by the users' developers' trial, since a share of 4 a second among 59 is one request in 15 s and saved tokens are spent together.

One gateway, the first by rendezvous hashing among those that are ready, now issues permits for an endpoint from a token bucket of at most two; the others ask it by datagram before they send. Views that differ cannot double the rate: a gateway issues only if it is the first in its own view and has been for 2 s, unless its predecessor has said that it stops; its bucket starts empty. Without a permit, or an answer within 50 ms, a request goes to another endpoint; if there is none, it is rejected at once with the time of the next permit. What an endpoint has named is told to all gateways at once, in heartbeats while it is new, and to gateways that become ready. A refusal by an endpoint that names a limit does not count against it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
+    permits,
     pool::{Connection, SendError},
     quarantine,
     request_context::RequestContext,
@@ -114,6 +115,7 @@
         handle.record_load(load, now);
     }
     handle.record_notices(&metadata, now);
+    permits::record_limit(gateway, handle, metadata.rate_limit);
     connection.set_idle_timeout(metadata.idle_timeout_ms);
     if metadata.attempt_id.as_ref().is_some_and(|it| *it != context.metadata.attempt_id) {
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
@@ -130,7 +132,10 @@
         return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "wrong endpoint"));
     }
     if metadata.not_run {
-        handle.record_outcome(&gateway.settings.policy, Outcome::Refused, now);
+        // An endpoint at its rate limit is not expected to refuse other requests.
+        if metadata.rate_limit.is_none() {
+            handle.record_outcome(&gateway.settings.policy, Outcome::Refused, now);
+        }
         return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "refused"));
     }
     if head.status.is_success() && !metadata.sealed {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -57,7 +57,7 @@
     loop {
         let attempt = match replacement.take() {
             Some(attempt) => attempt,
-            None => match start_next(gateway, &context, &mut retry_state, progress)? {
+            None => match start_next(gateway, &context, &mut retry_state, progress).await? {
                 Some(attempt) => attempt,
                 None => break,
             },
@@ -129,13 +129,13 @@
 ///
 /// Returns an error response if the request has not been sent to any endpoint yet and
 /// every engine is overloaded.
-fn start_next(
+async fn start_next(
     gateway: &Rc<Gateway>,
     context: &Rc<RequestContext>,
     retry_state: &mut RetryState,
     progress: Progress,
 ) -> Result<Option<Attempt>, ErrorResponse> {
-    match selection::next_endpoint(gateway, context, retry_state, progress) {
+    match selection::next_endpoint(gateway, context, retry_state, progress).await {
         Selection::Endpoint(handle) => {
             Ok(Some(Attempt::start(gateway, context, handle, context.metadata.last_event)))
         }
@@ -237,6 +237,6 @@
     };
     let jitter_ms =
         mimosaledge_core::hash::hash64(context.metadata.attempt_id.as_bytes()) % MIN_RETRY_AFTER_MS;
-    let retry_ms = MIN_RETRY_AFTER_MS.max(selection::pause_ms(gateway, context));
+    let retry_ms = MIN_RETRY_AFTER_MS.max(selection::wait_ms(gateway, context));
     ErrorResponse::with_retry_after(code, retry_ms + jitter_ms)
 }
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -18,6 +18,7 @@
     dialect::ResponseMetadata,
     loads::{LoadSample, Loads},
     pool::Pool,
+    rate_limit::{RateLimit, RateLimitSample},
 };
 
 /// Age up to which the load that an endpoint reported is sent to other
@@ -46,9 +47,9 @@
     is_leaving: Cell<bool>,
     /// Time before which the endpoint wants no requests.
     paused_until: Cell<Millis>,
-    /// Requests per second that the endpoint accepts from all gateways together, if it
-    /// limits them.
-    rate_limit: Cell<Option<f64>>,
+    rate_limit: Cell<RateLimit>,
+    /// Time before which no permit for the endpoint can be expected.
+    permits_from: Cell<Millis>,
     health: RefCell<Health>,
     /// Mean duration of the requests of the endpoint's service.
     mean_duration: Rc<Cell<MeanDuration>>,
@@ -73,6 +74,7 @@
             is_leaving: Cell::new(false),
             paused_until: Cell::default(),
             rate_limit: Cell::default(),
+            permits_from: Cell::default(),
             health: RefCell::default(),
             mean_duration,
             clock,
@@ -137,25 +139,63 @@
             spdlog::info!("health: endpoint={} pause_ms={pause_ms}", self.id());
             self.paused_until.set(self.paused_until.get().max(now + pause_ms));
         }
-        let previous = self.rate_limit.replace(metadata.rate_limit);
-        if previous != metadata.rate_limit {
-            let limit = metadata.rate_limit;
-            spdlog::info!("health: endpoint={} rate_limit={limit:?}", self.id());
-        }
     }
 
     /// Returns the time for which the endpoint still wants no requests, in milliseconds.
-    pub(crate) fn pause_ms(&self) -> u64 {
+    fn pause_ms(&self) -> u64 {
         self.paused_until.get().since(self.clock.now())
     }
 
+    /// Applies the rate limit that the endpoint named at `at`; returns whether that changes
+    /// the limit.
+    pub(crate) fn observe_limit(&self, per_second: Option<f32>, at: Millis, now: Millis) -> bool {
+        let mut rate_limit = self.rate_limit.get();
+        let has_changed = rate_limit.observe(per_second, at, now);
+        self.rate_limit.set(rate_limit);
+        if has_changed {
+            self.permits_from.set(now);
+            spdlog::info!("health: endpoint={} rate_limit={per_second:?}", self.id());
+        }
+        has_changed
+    }
+
+    /// Returns the requests per second that the endpoint accepts from all gateways together,
+    /// if it limits them.
+    pub(crate) fn rate_limit(&self) -> Option<f32> {
+        self.rate_limit.get().per_second
+    }
+
+    /// Returns the rate limit for other gateways.
+    pub(crate) fn to_limit_sample(&self, now: Millis) -> RateLimitSample {
+        self.rate_limit.get().to_sample(self.node, now)
+    }
+
+    /// Returns the rate limit for other gateways, if it has changed lately.
+    pub(crate) fn changed_limit(&self, now: Millis) -> Option<RateLimitSample> {
+        self.rate_limit.get().is_news(now).then(|| self.to_limit_sample(now))
+    }
+
+    /// Records that no permit for the endpoint can be expected before `time`.
+    pub(crate) fn deny_permits_until(&self, time: Millis) {
+        self.permits_from.set(time);
+    }
+
+    /// Returns the time until the endpoint may accept a request, in milliseconds.
+    pub(crate) fn wait_ms(&self) -> u64 {
+        self.pause_ms().max(self.permit_wait_ms())
+    }
+
+    fn permit_wait_ms(&self) -> u64 {
+        self.rate_limit().map_or(0, |_| self.permits_from.get().since(self.clock.now()))
+    }
+
     /// Returns whether the endpoint may be sent new requests.
     pub(crate) fn is_open(&self) -> bool {
-        self.is_available() && self.pause_ms() == 0
+        self.is_available() && self.wait_ms() == 0
     }
 
-    /// Returns whether the endpoint may be sent new requests, now or after a pause that it
-    /// has asked for.
+    /// Returns whether the endpoint may be sent new requests, now or after some time in which
+    /// it accepts none.
     pub(crate) fn is_available(&self) -> bool {
         self.endpoint.borrow().state == EndpointState::Ready
             && self.health.borrow().is_up()
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -12,7 +12,7 @@
 use crate::{
     clock::Clock,
     endpoint_handle::{EndpointHandle, node_number},
-    loads::{LoadSample, Loads},
+    loads::Loads,
     settings::Settings,
 };
 
@@ -91,11 +91,14 @@
         self.by_service.get(service).map_or(&[], |it| it.as_slice())
     }
 
-    /// Applies the load that an endpoint reported to another gateway.
-    pub(crate) fn apply_sample(&self, sample: &LoadSample, now: Millis) {
-        if let Some(handle) = self.by_short_number.get(&sample.endpoint()) {
-            handle.apply_sample(sample, now);
-        }
+    /// Returns the endpoint with this node number.
+    pub(crate) fn find(&self, node: u64) -> Option<Rc<EndpointHandle>> {
+        self.handles.get(&node).cloned()
+    }
+
+    /// Returns the endpoint with this truncated node number.
+    pub(crate) fn find_short(&self, short_number: u32) -> Option<&EndpointHandle> {
+        self.by_short_number.get(&short_number).map(|it| &**it)
     }
 
     /// Iterates over all endpoints.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
     messages::{ChangeBatch, StateSummary},
     metrics::Metrics,
     peers::Peers,
+    permit_table::PermitTable,
     settings::{Bounds, Settings},
     store::Store,
 };
@@ -80,6 +81,7 @@
     pub(crate) origin_received: Notify,
     pub(crate) loads: Rc<RefCell<Loads>>,
     pub(crate) peers: RefCell<Peers>,
+    pub(crate) permit_table: RefCell<PermitTable>,
     /// When the configuration was last known to be current.
     pub(crate) config_confirmed: Cell<Millis>,
     /// When the endpoint list was last known to be current.
@@ -117,6 +119,7 @@
         };
         let bounds = Cell::new(settings.bounds);
         let peers = Peers::new(&settings, clock.now());
+        let permit_table = PermitTable::new(settings.address, clock.now());
         Gateway {
             settings,
             bounds,
@@ -140,6 +143,7 @@
             origin_received: Notify::new(),
             loads: Rc::default(),
             peers: RefCell::new(peers),
+            permit_table: RefCell::new(permit_table),
             config_confirmed: Cell::new(Millis(0)),
             list_confirmed: Cell::new(Millis(0)),
             list_digest: Cell::new(0),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -22,7 +22,7 @@
     gateway::Gateway,
     loads::{LoadSample, Outcomes},
     messages::{Heartbeat, Message},
-    origins, quarantine, sync,
+    origins, permits, quarantine, sync,
 };
 
 /// Maximum number of other gateways named in a heartbeat of a small fleet.
@@ -31,6 +31,8 @@
 const MAX_SAMPLES: usize = 8;
 /// Maximum number of endpoints with outcomes in a heartbeat of a large fleet.
 const MAX_OUTCOMES: usize = 8;
+/// Maximum number of rate limits in a heartbeat.
+const MAX_LIMITS: usize = 16;
 /// Size of the receive buffer, which bounds the payload of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 /// Delay after a failure to receive.
@@ -102,6 +104,11 @@
         },
         samples,
         outcomes,
+        rate_limits: table
+            .handles()
+            .filter_map(|it| it.changed_limit(now))
+            .take(MAX_LIMITS)
+            .collect(),
         crashes: peers.crash_reports(),
         suspects: peers.suspect_reports(now),
         sound_parts: peers.sound_parts(),
@@ -137,6 +144,18 @@
                 quarantine::apply_reports(&gateway, &suspects, &[], gateway.now());
                 continue;
             }
+            Ok(Message::RateLimits(samples)) => {
+                permits::apply_samples(&gateway, &samples, gateway.now());
+                continue;
+            }
+            Ok(Message::PermitRequest(request)) => {
+                permits::handle_request(&gateway, *from.ip(), &request);
+                continue;
+            }
+            Ok(Message::PermitResponse { number, retry_ms }) => {
+                permits::handle_response(&gateway, number, retry_ms);
+                continue;
+            }
             Ok(Message::Heartbeat(heartbeat)) => {
                 handle_heartbeat(&gateway, *from.ip(), heartbeat);
             }
@@ -162,11 +181,16 @@
     quarantine::apply_reports(gateway, &heartbeat.suspects, &heartbeat.sound_parts, now);
     let table = gateway.endpoint_table.borrow();
     for sample in &heartbeat.samples {
-        table.apply_sample(sample, now);
+        if let Some(handle) = table.find_short(sample.endpoint()) {
+            handle.apply_sample(sample, now);
+        }
     }
     drop(table);
+    permits::apply_samples(gateway, &heartbeat.rate_limits, now);
     let summary = heartbeat.summary;
-    gateway.peers.borrow_mut().record_heartbeat(from, heartbeat, now);
+    if gateway.peers.borrow_mut().record_heartbeat(from, heartbeat, now) {
+        permits::send_limits(gateway, from);
+    }
     gateway.apply_summary(&summary);
     origins::send_unsent(gateway);
 }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -8,7 +8,10 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::loads::{LoadSample, Outcomes, RequestCount};
+use crate::{
+    loads::{LoadSample, Outcomes, RequestCount},
+    rate_limit::RateLimitSample,
+};
 
 /// Maximum number of endpoint list changes in one datagram; for more, peers
 /// sync over TCP.
@@ -91,10 +94,26 @@
     OriginQuery(u64),
     /// Sent by a gateway that has seen an endpoint crash, before the next heartbeat.
     Suspects(Vec<SuspectReport>),
+    /// Sent by a gateway that an endpoint has told of a new rate limit, or of its end.
+    RateLimits(Vec<RateLimitSample>),
+    /// Asks the gateway that issues an endpoint's permits for one.
+    PermitRequest(PermitRequest),
+    /// Responds to the request `number`: the permit is issued, or can be after `retry_ms`.
+    PermitResponse { number: u32, retry_ms: Option<u64> },
+}
+
+/// A request for the permit to send one request to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub(crate) struct PermitRequest {
+    pub(crate) number: u32,
+    /// Node number of the endpoint.
+    pub(crate) endpoint: u64,
+    /// The endpoint's limit, as the asking gateway knows it.
+    pub(crate) limit: RateLimitSample,
 }
 
 /// The periodic report of one gateway.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Heartbeat {
     /// Whether the gateway accepts requests.
     pub(crate) ready: bool,
@@ -107,6 +126,8 @@
     pub(crate) samples: Vec<LoadSample>,
     /// Recent outcomes of its requests, for endpoints with failures.
     pub(crate) outcomes: Vec<Outcomes>,
+    /// Rate limits of endpoints that have changed lately.
+    pub(crate) rate_limits: Vec<RateLimitSample>,
     /// Requests that were in flight at an endpoint when it crashed.
     pub(crate) crashes: Vec<CrashReport>,
     /// Prompt parts to which an endpoint had just begun to respond when it crashed.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     pub(crate) resumes: IntCounter,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) peer_bytes: IntCounterVec,
+    pub(crate) permits: IntCounterVec,
     version: IntGauge,
     gateways: IntGauge,
 }
@@ -68,6 +69,13 @@
             Opts::new("mimosaledge_peer_bytes_total", "Bytes of heartbeats with IP headers."),
             &["direction"],
         )?;
+        let permits = IntCounterVec::new(
+            Opts::new(
+                "mimosaledge_permits_total",
+                "Permits for endpoints that limit their rate, by decision.",
+            ),
+            &["decision"],
+        )?;
         let version =
             IntGauge::new("mimosaledge_config_version", "Version of the configuration in force.")?;
         let gateways = IntGauge::new("mimosaledge_gateways", "Gateways alive, this one included.")?;
@@ -78,6 +86,7 @@
         registry.register(Box::new(resumes.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(peer_bytes.clone()))?;
+        registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(gateways.clone()))?;
         Ok(Metrics {
@@ -89,6 +98,7 @@
             resumes,
             store_calls,
             peer_bytes,
+            permits,
             version,
             gateways,
         })
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -114,6 +114,22 @@
         self.live_peers(now).filter(|(_, it)| it.ready).map(|(address, _)| address)
     }
 
+    /// Returns the gateways that may issue permits: those that are ready, and in a large fleet
+    /// also those of which no heartbeat can be expected yet.
+    pub(crate) fn possible_issuers(&self, now: Millis) -> Vec<Ipv4Addr> {
+        if !self.is_large() {
+            return self.ready(now).collect();
+        }
+        let may_be_ready = |it: &Ipv4Addr| self.peers.get(it).is_none_or(|peer| peer.ready);
+        self.membership.possibly_alive(now).filter(may_be_ready).collect()
+    }
+
+    /// Returns whether a live gateway has said that it does not accept requests.
+    pub(crate) fn is_unready(&self, address: Ipv4Addr, now: Millis) -> bool {
+        self.membership.is_alive(address, now)
+            && self.peers.get(&address).is_some_and(|it| !it.ready)
+    }
+
     /// Updates the totals in `loads` from the last heartbeats of live gateways,
     /// if these have changed.
     pub(crate) fn update_loads(&mut self, loads: &mut Loads, now: Millis) {
@@ -217,8 +233,13 @@
         }
     }
 
-    /// Records a heartbeat.
-    pub(crate) fn record_heartbeat(&mut self, from: Ipv4Addr, heartbeat: Heartbeat, now: Millis) {
+    /// Records a heartbeat; returns whether the gateway has become ready with it.
+    pub(crate) fn record_heartbeat(
+        &mut self,
+        from: Ipv4Addr,
+        heartbeat: Heartbeat,
+        now: Millis,
+    ) -> bool {
         let was_alive = self.membership.is_alive(from, now);
         self.membership.record_heartbeat(from, now);
         self.membership.apply_report(&heartbeat.failure_report, from, now);
@@ -230,12 +251,14 @@
             let version = heartbeat.summary.version;
             spdlog::info!("peer: address={from} ready={} version={version}", heartbeat.ready);
         }
+        let has_become_ready = heartbeat.ready && (!peer.ready || !was_alive);
         peer.ready = heartbeat.ready;
         peer.summary = heartbeat.summary;
         peer.heard_at = now;
         peer.request_counts = heartbeat.request_counts;
         peer.outcomes = heartbeat.outcomes;
         self.has_stale_totals = true;
+        has_become_ready
     }
 
     /// Starts a round; returns the recipients of a heartbeat of `bytes` of
--- /dev/null
+++ b/crates/gateway/src/permit_table.rs
@@ -0,0 +1,51 @@
+//! State of the permits for endpoints that limit their rate.
+
+use std::{collections::HashMap, net::Ipv4Addr};
+
+use mimosaledge_core::Millis;
+use mimosaledge_policy::{
+    issuers::Issuers,
+    permits::{Decision, Permits},
+};
+use tokio::sync::oneshot;
+
+/// Permits that this gateway issues, and those that it has asked others for.
+#[derive(Debug)]
+pub(crate) struct PermitTable {
+    pub(crate) issuers: Issuers,
+    pub(crate) permits: Permits,
+    /// Requests for permits that other gateways have not answered yet, by number.
+    pending: HashMap<u32, oneshot::Sender<Decision>>,
+    next_number: u32,
+}
+
+impl PermitTable {
+    /// Creates the table of the gateway at `own_address`, which starts at `now`.
+    pub(crate) fn new(own_address: Ipv4Addr, now: Millis) -> PermitTable {
+        PermitTable {
+            issuers: Issuers::new(own_address, now),
+            permits: Permits::default(),
+            pending: HashMap::new(),
+            next_number: 0,
+        }
+    }
+
+    /// Registers a request to another gateway; returns its number and the response to come.
+    pub(crate) fn add_pending(&mut self) -> (u32, oneshot::Receiver<Decision>) {
+        let number = self.next_number;
+        self.next_number = number.wrapping_add(1);
+        let (sender, receiver) = oneshot::channel();
+        self.pending.insert(number, sender);
+        (number, receiver)
+    }
+
+    /// Removes a request that is answered or no longer waited for.
+    pub(crate) fn take_pending(&mut self, number: u32) -> Option<oneshot::Sender<Decision>> {
+        self.pending.remove(&number)
+    }
+
+    /// Removes the requests that nobody waits for any more.
+    pub(crate) fn remove_abandoned(&mut self) {
+        self.pending.retain(|_, it| !it.is_closed());
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -265,7 +265,11 @@
         self.splitter.restart();
         let last_id = self.splitter.last_id();
         loop {
-            let Some(attempt) = replacement.take().or_else(|| self.start_next()) else {
+            let next = match replacement.take() {
+                Some(attempt) => Some(attempt),
+                None => self.start_next().await,
+            };
+            let Some(attempt) = next else {
                 if interruption == Interruption::Silent && self.may_search_again() {
                     sleep(silence::SEARCH_INTERVAL).await;
                     continue;
@@ -308,7 +312,7 @@
 
     /// Starts an attempt to resume the stream at another endpoint, if the route and the
     /// retry budget allow it.
-    fn start_next(&mut self) -> Option<Attempt> {
+    async fn start_next(&mut self) -> Option<Attempt> {
         if self.retry_state.ran >= self.context.route().max_attempts {
             spdlog::info!(
                 "retry: id={} denied=true cause=max_attempts sent={} ran={}",
@@ -320,7 +324,8 @@
         }
         let (gateway, context) = (&self.gateway, &self.context);
         let next =
-            selection::next_endpoint(gateway, context, &mut self.retry_state, Progress::Started);
+            selection::next_endpoint(gateway, context, &mut self.retry_state, Progress::Started)
+                .await;
         let Selection::Endpoint(handle) = next else { return None };
         Some(Attempt::start(gateway, context, handle, self.splitter.last_id()))
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,6 +20,7 @@
     gossip, listener,
     log_sink::LogSink,
     metrics::{self, Metrics},
+    permits,
     settings::Settings,
     socket,
     store::Store,
@@ -176,6 +177,7 @@
     // Without changes, this applies only the deferred removals that are due.
     let position = gateway.endpoints.borrow().position();
     gateway.apply_changes(Vec::new(), position);
+    permits::run_maintenance(gateway);
     for handle in gateway.endpoint_table.borrow().handles() {
         handle.pool.close_expired();
         let handle = handle.clone();
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway, quarantine,
+    endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway, permits, quarantine,
     request_context::RequestContext, retry_state::RetryState,
 };
 
@@ -22,6 +22,9 @@
 /// Maximum number of endpoints that one request is sent to, including those
 /// that refuse it.
 pub(crate) const MAX_SENDS: u32 = 4;
+/// Maximum number of endpoints that a request is denied a permit for before it goes to one
+/// without a rate limit.
+const MAX_DENIED_PERMITS: u32 = 2;
 /// Minimum response timeout before an idempotent request is retried at another
 /// endpoint, in milliseconds.
 const MIN_RESPONSE_TIMEOUT_MS: u64 = 350;
@@ -72,14 +75,15 @@
 
 /// Selects the next endpoint for a request and records it in `retry_state`.
 ///
-/// Every endpoint after the first takes one retry from the service's budget.
-pub(crate) fn next_endpoint(
+/// Every endpoint after the first takes one retry from the service's budget, and one that
+/// limits its rate a permit.
+pub(crate) async fn next_endpoint(
     gateway: &Gateway,
     context: &RequestContext,
     retry_state: &mut RetryState,
     progress: Progress,
 ) -> Selection {
-    let selection = try_next_endpoint(gateway, context, retry_state, progress);
+    let selection = try_next_endpoint(gateway, context, retry_state, progress).await;
     if let Selection::Unavailable(cause) = &selection
         && retry_state.sent > 0
     {
@@ -94,31 +98,39 @@
     selection
 }
 
-fn try_next_endpoint(
+async fn try_next_endpoint(
     gateway: &Gateway,
     context: &RequestContext,
     retry_state: &mut RetryState,
     progress: Progress,
 ) -> Selection {
-    let now = gateway.now();
-    if context.remaining_ms(now) < MIN_REMAINING_MS {
-        return Selection::Unavailable(Unavailable::Deadline);
-    }
     if retry_state.sent >= MAX_SENDS {
         return Selection::Unavailable(Unavailable::SendLimit);
     }
     if retry_state.sent > 0 && quarantine::find_refusal(gateway, context).is_some() {
         return Selection::Unavailable(Unavailable::Quarantined);
     }
-    let handle = match select_endpoint(gateway, context, retry_state, progress) {
-        Selection::Endpoint(handle) => handle,
-        other => return other,
+    let mut denied_permits = 0;
+    let handle = loop {
+        if context.remaining_ms(gateway.now()) < MIN_REMAINING_MS {
+            return Selection::Unavailable(Unavailable::Deadline);
+        }
+        let may_ask = denied_permits < MAX_DENIED_PERMITS;
+        match select_endpoint(gateway, context, retry_state, progress, may_ask) {
+            Selection::Endpoint(handle) => {
+                if permits::acquire(gateway, &context.metadata.attempt_id, &handle).await {
+                    break handle;
+                }
+                denied_permits += 1;
+            }
+            other => return other,
+        }
     };
     if retry_state.sent > 0 {
         if !gateway.retry_budget.borrow_mut().try_acquire(
             &context.service,
             gateway.count_budget_shares(),
-            now,
+            gateway.now(),
         ) {
             return Selection::Unavailable(Unavailable::RetryBudget);
         }
@@ -129,20 +141,22 @@
     Selection::Endpoint(handle)
 }
 
-/// Returns the time until the first endpoint of the request's service ends the pause that it
-/// has asked for, in milliseconds; 0 if one has asked for none.
-pub(crate) fn pause_ms(gateway: &Gateway, context: &RequestContext) -> u64 {
+/// Returns the time until the first endpoint of the request's service accepts requests again,
+/// in milliseconds; 0 if one accepts them now.
+pub(crate) fn wait_ms(gateway: &Gateway, context: &RequestContext) -> u64 {
     let table = gateway.endpoint_table.borrow();
     let available = table.of_service(&context.service).iter().filter(|it| it.is_available());
-    available.map(|it| it.pause_ms()).min().unwrap_or_default()
+    available.map(|it| it.wait_ms()).min().unwrap_or_default()
 }
 
-/// Selects an endpoint by load, locality, failure rate and cached prefix.
+/// Selects an endpoint by load, locality, failure rate and cached prefix; one that limits its
+/// rate only if `may_ask` is set.
 fn select_endpoint(
     gateway: &Gateway,
     context: &RequestContext,
     retry_state: &RetryState,
     progress: Progress,
+    may_ask: bool,
 ) -> Selection {
     let now = gateway.now();
     let policy = &gateway.settings.policy;
@@ -150,8 +164,12 @@
     let table = gateway.endpoint_table.borrow();
     let loads = gateway.loads.borrow();
     let known = table.of_service(&context.service);
-    let untried: Vec<Rc<EndpointHandle>> =
-        known.iter().filter(|it| it.is_open() && retry_state.allows(it)).cloned().collect();
+    let is_allowed = |it: &EndpointHandle| may_ask || it.rate_limit().is_none();
+    let untried: Vec<Rc<EndpointHandle>> = known
+        .iter()
+        .filter(|it| it.is_open() && is_allowed(it) && retry_state.allows(it))
+        .cloned()
+        .collect();
     let candidates = endpoint_table::to_candidates(&untried, &gateway.settings, &loads, now);
     let mut available: Vec<(Rc<EndpointHandle>, Candidate)> =
         untried.into_iter().zip(candidates).collect();
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -67,7 +67,7 @@
         }
         self.record_silence();
         while !self.remaining().is_zero() {
-            let Some(mut attempt) = self.start_replacement() else {
+            let Some(mut attempt) = self.start_replacement().await else {
                 let wait = SEARCH_INTERVAL.min(self.remaining());
                 match timeout(wait, response.as_mut()).await {
                     Ok(received) => {
@@ -142,7 +142,7 @@
     }
 
     /// Sends the request to another endpoint, if the route and the retry budget allow it.
-    fn start_replacement(&mut self) -> Option<Attempt> {
+    async fn start_replacement(&mut self) -> Option<Attempt> {
         let route = self.context.route();
         if route.retry == RetryPolicy::Never || self.retry_state.ran + 1 >= route.max_attempts {
             return None;
@@ -154,7 +154,8 @@
             return None;
         }
         let next =
-            selection::next_endpoint(self.gateway, self.context, self.retry_state, self.progress);
+            selection::next_endpoint(self.gateway, self.context, self.retry_state, self.progress)
+                .await;
         let Selection::Endpoint(handle) = next else { return None };
         Some(Attempt::start(self.gateway, self.context, handle, self.last_event))
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,8 @@
 //! | [`prefix_cache`] | prompt prefixes that engines have cached |
 //! | [`admission`] | admission control for engines under overload |
 //! | [`retry_budget`] | retry budgets per service |
+//! | [`permits`] | rate limits of endpoints, which all gateways share |
+//! | [`issuers`] | choice of the gateway that keeps each of these limits |
 //! | [`health`] | the health of an endpoint |
 //! | [`crashing_parts`] | detection of prompt parts that crash engines |
 //! | [`settings`] | settings of these policies |
@@ -28,9 +30,11 @@
 pub mod events;
 pub mod health;
 pub mod history;
+pub mod issuers;
 pub mod limits;
 pub mod load;
 pub mod membership;
+pub mod permits;
 pub mod placement;
 pub mod position;
 pub mod prefix_cache;
--- /dev/null
+++ b/crates/policy/src/permits.rs
@@ -0,0 +1,84 @@
+//! Permits to send requests to endpoints that limit their rate.
+//!
+//! The gateway that issues the permits of an endpoint holds a token bucket for it. The
+//! bucket starts empty, so that a gateway that takes over adds no burst of its own to what
+//! its predecessor has just issued, and holds few tokens, so that permits that were not
+//! wanted for a while do not add up.
+
+use std::collections::HashMap;
+
+use mimosaledge_core::Millis;
+
+/// Maximum number of permits that may be issued at once.
+const MAX_BURST: f64 = 2.0;
+/// Lowest rate at which permits are issued, per second: without any request the gateways
+/// would not learn that a limit has been raised.
+const MIN_RATE: f64 = 0.1;
+/// Time without a request for a permit after which a bucket is dropped, in milliseconds.
+const RETENTION_MS: u64 = 30_000;
+
+/// Response to a request for a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// One request may be sent.
+    Issued,
+    /// No request may be sent; the next permit can be issued after this time, in
+    /// milliseconds.
+    Denied(u64),
+}
+
+#[derive(Debug)]
+struct Bucket {
+    tokens: f64,
+    updated_at: Millis,
+}
+
+/// The token buckets of the endpoints whose permits one gateway issues.
+#[derive(Debug, Default)]
+pub struct Permits {
+    buckets: HashMap<u64, Bucket>,
+}
+
+impl Permits {
+    /// Issues a permit for `endpoint`, which accepts `rate` requests per second, unless the
+    /// limit is reached.
+    ///
+    /// `issuer_since` is the time from which this gateway issues the endpoint's permits.
+    pub fn request(
+        &mut self,
+        endpoint: u64,
+        rate: f64,
+        issuer_since: Millis,
+        now: Millis,
+    ) -> Decision {
+        let rate = rate.max(MIN_RATE);
+        if now < issuer_since {
+            return Decision::Denied(issuer_since.since(now) + interval_ms(rate, 1.0));
+        }
+        let bucket = self
+            .buckets
+            .entry(endpoint)
+            .or_insert(Bucket { tokens: 0.0, updated_at: issuer_since });
+        if bucket.updated_at < issuer_since {
+            *bucket = Bucket { tokens: 0.0, updated_at: issuer_since };
+        }
+        let elapsed_s = now.since(bucket.updated_at) as f64 / 1_000.0;
+        bucket.tokens = (bucket.tokens + elapsed_s * rate).min(MAX_BURST);
+        bucket.updated_at = now;
+        if bucket.tokens >= 1.0 {
+            bucket.tokens -= 1.0;
+            return Decision::Issued;
+        }
+        Decision::Denied(interval_ms(rate, 1.0 - bucket.tokens))
+    }
+
+    /// Drops the buckets of endpoints that no permits are wanted for any more.
+    pub fn remove_unused(&mut self, now: Millis) {
+        self.buckets.retain(|_, it| now.since(it.updated_at) < RETENTION_MS);
+    }
+}
+
+/// Returns the time in which `tokens` accrue, in milliseconds.
+fn interval_ms(rate: f64, tokens: f64) -> u64 {
+    (tokens / rate * 1_000.0).ceil() as u64
+}
