Spend the permits of limited engines on large requests of their own prefixes

A permit now goes to requests that generate at least the mean number of tokens of their service; smaller ones get one only from a full bucket. A request with a prompt prefix asks only for the engine that its prefix belongs to by rendezvous hashing, and otherwise goes to one without a limit.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -34,6 +34,8 @@
     pub resumed_attempt: Option<Name>,
     /// The prompt's parts, in order.
     pub prompt: Vec<PromptPart>,
+    /// Maximum number of tokens to generate.
+    pub max_tokens: Option<u32>,
 }
 
 /// Metadata that the gateway sets in a request to an endpoint.
--- a/crates/gateway/src/permit_table.rs
+++ b/crates/gateway/src/permit_table.rs
@@ -2,10 +2,10 @@
 
 use std::{collections::HashMap, net::Ipv4Addr};
 
-use mimosaledge_core::Millis;
+use mimosaledge_core::{Millis, Name};
 use mimosaledge_policy::{
     issuers::Issuers,
-    permits::{Decision, Permits},
+    permits::{Decision, MeanSize, Permits, RequestSize},
 };
 use tokio::sync::oneshot;
 
@@ -17,6 +17,8 @@
     /// Requests for permits that other gateways have not answered yet, by number.
     pending: HashMap<u32, oneshot::Sender<Decision>>,
     next_number: u32,
+    /// Mean size of the requests to each service.
+    mean_sizes: HashMap<Name, MeanSize>,
 }
 
 impl PermitTable {
@@ -27,9 +29,17 @@
             permits: Permits::default(),
             pending: HashMap::new(),
             next_number: 0,
+            mean_sizes: HashMap::new(),
         }
     }
 
+    /// Records a request to `service` that generates up to `max_tokens`; returns its size
+    /// compared to the others.
+    pub(crate) fn record_size(&mut self, service: &Name, max_tokens: Option<u32>) -> RequestSize {
+        let Some(tokens) = max_tokens else { return RequestSize::Large };
+        self.mean_sizes.entry(service.clone()).or_default().record(tokens)
+    }
+
     /// Registers a request to another gateway; returns its number and the response to come.
     pub(crate) fn add_pending(&mut self) -> (u32, oneshot::Receiver<Decision>) {
         let number = self.next_number;
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -7,7 +7,7 @@
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use mimosaledge_core::Millis;
-use mimosaledge_policy::permits::Decision;
+use mimosaledge_policy::permits::{Decision, RequestSize};
 use tokio::time::timeout;
 
 use crate::{
@@ -16,6 +16,7 @@
     gateway::Gateway,
     messages::{Message, PermitRequest},
     rate_limit::RateLimitSample,
+    request_context::RequestContext,
 };
 
 /// Time to wait for the response to a request for a permit.
@@ -30,13 +31,17 @@
 ///
 /// An endpoint that no permit could be obtained for is not open until the next one can be
 /// expected.
-pub(crate) async fn acquire(gateway: &Gateway, attempt_id: &str, handle: &EndpointHandle) -> bool {
+pub(crate) async fn acquire(
+    gateway: &Gateway,
+    context: &RequestContext,
+    handle: &EndpointHandle,
+) -> bool {
     let Some(rate) = handle.rate_limit() else { return true };
     let issuer = gateway.permit_table.borrow_mut().issuers.issuer(handle.node());
     let decision = if issuer == gateway.settings.address {
-        decide(gateway, handle, gateway.now())
+        decide(gateway, handle, context.size, gateway.now())
     } else {
-        ask(gateway, issuer, handle).await
+        ask(gateway, issuer, handle, context.size).await
     };
     let Decision::Denied(retry_ms) = decision else {
         gateway.metrics.permits.with_label_values(&["issued"]).inc();
@@ -44,19 +49,26 @@
     };
     gateway.metrics.permits.with_label_values(&["denied"]).inc();
     spdlog::info!(
-        "permit: id={attempt_id} endpoint={} denied=true rate_limit={rate} issuer={issuer} \
+        "permit: id={} endpoint={} denied=true size={:?} rate_limit={rate} issuer={issuer} \
          retry_ms={retry_ms}",
-        handle.id()
+        context.metadata.attempt_id,
+        handle.id(),
+        context.size
     );
-    handle.deny_permits_until(gateway.now() + retry_ms);
+    handle.deny_permits_until(context.size, gateway.now() + retry_ms);
     false
 }
 
 /// Asks another gateway for a permit.
-async fn ask(gateway: &Gateway, issuer: Ipv4Addr, handle: &EndpointHandle) -> Decision {
+async fn ask(
+    gateway: &Gateway,
+    issuer: Ipv4Addr,
+    handle: &EndpointHandle,
+    size: RequestSize,
+) -> Decision {
     let limit = handle.to_limit_sample(gateway.now());
     let (number, response) = gateway.permit_table.borrow_mut().add_pending();
-    let request = PermitRequest { number, endpoint: handle.node(), limit };
+    let request = PermitRequest { number, endpoint: handle.node(), size, limit };
     datagrams::send_now(gateway, &Message::PermitRequest(request), &[issuer]);
     let decision = timeout(RESPONSE_TIMEOUT, response).await;
     gateway.permit_table.borrow_mut().take_pending(number);
@@ -72,7 +84,7 @@
     apply_samples(gateway, &[request.limit], now);
     let handle = gateway.endpoint_table.borrow().find(request.endpoint);
     let decision = match handle {
-        Some(handle) => decide(gateway, &handle, now),
+        Some(handle) => decide(gateway, &handle, request.size, now),
         None => Decision::Denied(WRONG_ISSUER_RETRY_MS),
     };
     let retry_ms = match decision {
@@ -92,11 +104,11 @@
 }
 
 /// Issues a permit if this gateway is the one to issue it and the limit allows it.
-fn decide(gateway: &Gateway, handle: &EndpointHandle, now: Millis) -> Decision {
+fn decide(gateway: &Gateway, handle: &EndpointHandle, size: RequestSize, now: Millis) -> Decision {
     let Some(rate) = handle.rate_limit() else { return Decision::Issued };
     let mut table = gateway.permit_table.borrow_mut();
     match table.issuers.own_start(handle.node()) {
-        Some(from) => table.permits.request(handle.node(), rate.into(), from, now),
+        Some(from) => table.permits.request(handle.node(), rate.into(), size, from, now),
         None => Decision::Denied(WRONG_ISSUER_RETRY_MS),
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -125,6 +125,7 @@
     };
     let fingerprint = fingerprint(&head, &metadata, &body);
     let shared_parts = shared_parts(&metadata.prompt);
+    let size = gateway.permit_table.borrow_mut().record_size(&service, metadata.max_tokens);
     let deadline = arrived + timeout_ms;
     Ok(RequestContext {
         head,
@@ -136,6 +137,7 @@
         prefix,
         fingerprint,
         shared_parts,
+        size,
         arrived,
         deadline,
     })
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use mimosaledge_core::{Millis, Name};
-use mimosaledge_policy::{Route, config::AuthorizedRequest};
+use mimosaledge_policy::{Route, config::AuthorizedRequest, permits::RequestSize};
 
 use crate::dialect::RequestMetadata;
 
@@ -26,6 +26,8 @@
     pub(crate) fingerprint: u64,
     /// Identifiers of the prompt's parts that other requests may share, in order.
     pub(crate) shared_parts: Vec<u64>,
+    /// Size of the request, compared to the others of the service.
+    pub(crate) size: RequestSize,
     pub(crate) arrived: Millis,
     /// When the client's deadline or the route's timeout expires.
     pub(crate) deadline: Millis,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -181,7 +181,7 @@
     for handle in gateway.endpoint_table.borrow().handles() {
         handle.pool.close_expired();
         let handle = handle.clone();
-        if !handle.is_open() {
+        if !handle.is_available() {
             spawn_local(async move { handle.probe(now).await });
         }
     }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -118,7 +118,7 @@
         let may_ask = denied_permits < MAX_DENIED_PERMITS;
         match select_endpoint(gateway, context, retry_state, progress, may_ask) {
             Selection::Endpoint(handle) => {
-                if permits::acquire(gateway, &context.metadata.attempt_id, &handle).await {
+                if permits::acquire(gateway, context, &handle).await {
                     break handle;
                 }
                 denied_permits += 1;
@@ -146,7 +146,7 @@
 pub(crate) fn wait_ms(gateway: &Gateway, context: &RequestContext) -> u64 {
     let table = gateway.endpoint_table.borrow();
     let available = table.of_service(&context.service).iter().filter(|it| it.is_available());
-    available.map(|it| it.wait_ms()).min().unwrap_or_default()
+    available.map(|it| it.wait_ms(context.size)).min().unwrap_or_default()
 }
 
 /// Selects an endpoint by load, locality, failure rate and cached prefix; one that limits its
@@ -164,12 +164,12 @@
     let table = gateway.endpoint_table.borrow();
     let loads = gateway.loads.borrow();
     let known = table.of_service(&context.service);
-    let is_allowed = |it: &EndpointHandle| may_ask || it.rate_limit().is_none();
-    let untried: Vec<Rc<EndpointHandle>> = known
+    let mut untried: Vec<Rc<EndpointHandle>> = known
         .iter()
-        .filter(|it| it.is_open() && is_allowed(it) && retry_state.allows(it))
+        .filter(|it| it.is_open(context.size) && retry_state.allows(it))
         .cloned()
         .collect();
+    prefer_unlimited(&mut untried, known, context, may_ask);
     let candidates = endpoint_table::to_candidates(&untried, &gateway.settings, &loads, now);
     let mut available: Vec<(Rc<EndpointHandle>, Candidate)> =
         untried.into_iter().zip(candidates).collect();
@@ -223,6 +223,26 @@
     Selection::Endpoint(handle.clone())
 }
 
+/// Removes endpoints that limit their rate: those that the request's prefix does not belong
+/// to, which need not have it cached, and all if no more permits may be asked for. If there are
+/// no others, only the latter are removed.
+fn prefer_unlimited(
+    open: &mut Vec<Rc<EndpointHandle>>,
+    known: &[Rc<EndpointHandle>],
+    context: &RequestContext,
+    may_ask: bool,
+) {
+    if !may_ask {
+        return open.retain(|it| it.rate_limit().is_none());
+    }
+    let Some(prefix) = context.prefix else { return };
+    let available = known.iter().filter(|it| it.is_available());
+    let home = placement::home(prefix, available.map(|it| it.node()));
+    if open.iter().any(|it| it.rate_limit().is_none()) {
+        open.retain(|it| it.rate_limit().is_none() || home == Some(it.node()));
+    }
+}
+
 /// Returns the number of requests that an engine of the request's service runs
 /// in one batch, or `None` if the service has no engines.
 fn batch_slots(gateway: &Gateway, context: &RequestContext) -> Option<u32> {
--- a/crates/policy/src/permits.rs
+++ b/crates/policy/src/permits.rs
@@ -3,14 +3,18 @@
 //! The gateway that issues the permits of an endpoint holds a token bucket for it. The
 //! bucket starts empty, so that a gateway that takes over adds no burst of its own to what
 //! its predecessor has just issued, and holds few tokens, so that permits that were not
-//! wanted for a while do not add up.
+//! wanted for a while do not add up. Since the limit counts requests, whatever their size, the
+//! permits go to large requests first: small ones get only what those leave in a full bucket.
 
 use std::collections::HashMap;
 
 use mimosaledge_core::Millis;
+use serde::{Deserialize, Serialize};
 
 /// Maximum number of permits that may be issued at once.
 const MAX_BURST: f64 = 2.0;
+/// Weight of the latest request in the mean size.
+const SIZE_WEIGHT: f64 = 0.02;
 /// Lowest rate at which permits are issued, per second: without any request the gateways
 /// would not learn that a limit has been raised.
 const MIN_RATE: f64 = 0.1;
@@ -27,6 +31,42 @@
     Denied(u64),
 }
 
+/// Size of a request, compared to the others of its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RequestSize {
+    /// At least as large as the mean, or of unknown size.
+    Large,
+    /// Smaller than the mean.
+    Small,
+}
+
+impl RequestSize {
+    /// Returns the number of permits that must be available for such a request.
+    fn min_tokens(self) -> f64 {
+        match self {
+            RequestSize::Large => 1.0,
+            RequestSize::Small => MAX_BURST,
+        }
+    }
+}
+
+/// Mean size of the requests to one service.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct MeanSize {
+    mean: Option<f64>,
+}
+
+impl MeanSize {
+    /// Records a request that generates up to `tokens`; returns its size compared to the
+    /// mean so far.
+    pub fn record(&mut self, tokens: u32) -> RequestSize {
+        let tokens = f64::from(tokens);
+        let mean = self.mean.unwrap_or(tokens);
+        self.mean = Some(mean + SIZE_WEIGHT * (tokens - mean));
+        if tokens >= mean { RequestSize::Large } else { RequestSize::Small }
+    }
+}
+
 #[derive(Debug)]
 struct Bucket {
     tokens: f64,
@@ -40,14 +80,15 @@
 }
 
 impl Permits {
-    /// Issues a permit for `endpoint`, which accepts `rate` requests per second, unless the
-    /// limit is reached.
+    /// Issues a permit for a request of `size` to `endpoint`, which accepts `rate` requests
+    /// per second, unless the limit is reached.
     ///
     /// `issuer_since` is the time from which this gateway issues the endpoint's permits.
     pub fn request(
         &mut self,
         endpoint: u64,
         rate: f64,
+        size: RequestSize,
         issuer_since: Millis,
         now: Millis,
     ) -> Decision {
@@ -65,11 +106,12 @@
         let elapsed_s = now.since(bucket.updated_at) as f64 / 1_000.0;
         bucket.tokens = (bucket.tokens + elapsed_s * rate).min(MAX_BURST);
         bucket.updated_at = now;
-        if bucket.tokens >= 1.0 {
-            bucket.tokens -= 1.0;
-            return Decision::Issued;
+        let missing = size.min_tokens() - bucket.tokens;
+        if missing > 0.0 {
+            return Decision::Denied(interval_ms(rate, missing));
         }
-        Decision::Denied(interval_ms(rate, 1.0 - bucket.tokens))
+        bucket.tokens -= 1.0;
+        Decision::Issued
     }
 
     /// Drops the buckets of endpoints that no permits are wanted for any more.
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -75,6 +75,12 @@
         .or_else(|| choose_of_two(settings, candidates, random))
 }
 
+/// Returns the endpoint that a prompt prefix belongs to while none is over its load bound.
+pub fn home(prefix: u64, nodes: impl Iterator<Item = u64>) -> Option<u64> {
+    let score = |node: &u64| rendezvous_score(prefix, *node, 1.0);
+    nodes.max_by(|a, b| score(a).total_cmp(&score(b)))
+}
+
 /// Returns the load up to which an engine is chosen for its cached prefix.
 pub fn load_bound(settings: &PolicySettings, candidates: &[Candidate]) -> f64 {
     let total: f64 = candidates.iter().map(|it| it.load).sum();
