Offer leftover permits to the prefixes that belong to other engines

A request whose prefix belongs to another engine may now take a permit of the next two in its order, as small requests may: only from a full bucket.

--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -10,7 +10,7 @@
     Endpoint, EndpointState, PolicySettings,
     health::{Health, Outcome, Tally},
     load::{self, MeanDuration, Report},
-    permits::RequestSize,
+    permits::Claim,
     placement::Candidate,
 };
 
@@ -49,10 +49,10 @@
     /// Time before which the endpoint wants no requests.
     paused_until: Cell<Millis>,
     rate_limit: Cell<RateLimit>,
-    /// Time before which no permit for a large request to the endpoint can be expected.
+    /// Time before which no permit for the endpoint can be expected.
     permits_from: Cell<Millis>,
-    /// The same for a small request.
-    small_permits_from: Cell<Millis>,
+    /// Time before which no permit can be expected to be left over.
+    spare_from: Cell<Millis>,
     health: RefCell<Health>,
     /// Mean duration of the requests of the endpoint's service.
     mean_duration: Rc<Cell<MeanDuration>>,
@@ -78,7 +78,7 @@
             paused_until: Cell::default(),
             rate_limit: Cell::default(),
             permits_from: Cell::default(),
-            small_permits_from: Cell::default(),
+            spare_from: Cell::default(),
             health: RefCell::default(),
             mean_duration,
             clock,
@@ -158,7 +158,7 @@
         self.rate_limit.set(rate_limit);
         if has_changed {
             self.permits_from.set(now);
-            self.small_permits_from.set(now);
+            self.spare_from.set(now);
             spdlog::info!("health: endpoint={} rate_limit={per_second:?}", self.id());
         }
         has_changed
@@ -180,27 +180,27 @@
         self.rate_limit.get().is_news(now).then(|| self.to_limit_sample(now))
     }
 
-    /// Records that no permit for a request of `size` can be expected before `time`.
-    pub(crate) fn deny_permits_until(&self, size: RequestSize, time: Millis) {
-        self.permits_from_of(size).set(time);
+    /// Records that no permit for `claim` can be expected before `time`.
+    pub(crate) fn deny_permits_until(&self, claim: Claim, time: Millis) {
+        self.permits_from(claim).set(time);
     }
 
-    fn permits_from_of(&self, size: RequestSize) -> &Cell<Millis> {
-        match size {
-            RequestSize::Large => &self.permits_from,
-            RequestSize::Small => &self.small_permits_from,
+    fn permits_from(&self, claim: Claim) -> &Cell<Millis> {
+        match claim {
+            Claim::Preferred => &self.permits_from,
+            Claim::Spare => &self.spare_from,
         }
     }
 
-    /// Returns the time until the endpoint may accept a request of `size`, in milliseconds.
-    pub(crate) fn wait_ms(&self, size: RequestSize) -> u64 {
-        let permit_wait = |_| self.permits_from_of(size).get().since(self.clock.now());
+    /// Returns the time until the endpoint may accept a request with `claim`, in milliseconds.
+    pub(crate) fn wait_ms(&self, claim: Claim) -> u64 {
+        let permit_wait = |_| self.permits_from(claim).get().since(self.clock.now());
         self.pause_ms().max(self.rate_limit().map_or(0, permit_wait))
     }
 
-    /// Returns whether the endpoint may be sent new requests of `size`.
-    pub(crate) fn is_open(&self, size: RequestSize) -> bool {
-        self.is_available() && self.wait_ms(size) == 0
+    /// Returns whether the endpoint may be sent new requests with `claim`.
+    pub(crate) fn is_open(&self, claim: Claim) -> bool {
+        self.is_available() && self.wait_ms(claim) == 0
     }
 
     /// Returns whether the endpoint may be sent new requests, now or after some time in which
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,7 @@
 //! | `retry_state` | what has been tried for one request |
 //! | `selection` | selects the endpoint for each attempt, or none under overload |
 //! | `silence` | gives up a silent endpoint only for another one |
-//! | `permits`, `permit_table`, `rate_limit` | keep the rate limits of endpoints with the other gateways |
+//! | `permits`, `permit_table`, `rate_limit`, `claims` | keep the rate limits of endpoints with the other gateways |
 //! | `quarantine` | finds out what crashes endpoints, and refuses it |
 //! | `relay` | forwards a stream and resumes it at another endpoint |
 //! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
@@ -32,6 +32,7 @@
 mod attempt;
 mod attempts;
 mod body_buffer;
+mod claims;
 mod clock;
 mod cursor;
 mod datagrams;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -4,7 +4,7 @@
 
 use mimosaledge_policy::{
     Position, crashing_parts::CrashSuspect, endpoints::Change, membership::FailureReport,
-    permits::RequestSize, stream_origins::StreamOrigin,
+    permits::Claim, stream_origins::StreamOrigin,
 };
 use serde::{Deserialize, Serialize};
 
@@ -108,7 +108,7 @@
     pub(crate) number: u32,
     /// Node number of the endpoint.
     pub(crate) endpoint: u64,
-    pub(crate) size: RequestSize,
+    pub(crate) claim: Claim,
     /// The endpoint's limit, as the asking gateway knows it.
     pub(crate) limit: RateLimitSample,
 }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -7,7 +7,7 @@
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use mimosaledge_core::Millis;
-use mimosaledge_policy::permits::{Decision, RequestSize};
+use mimosaledge_policy::permits::{Claim, Decision};
 use tokio::time::timeout;
 
 use crate::{
@@ -35,13 +35,14 @@
     gateway: &Gateway,
     context: &RequestContext,
     handle: &EndpointHandle,
+    claim: Claim,
 ) -> bool {
     let Some(rate) = handle.rate_limit() else { return true };
     let issuer = gateway.permit_table.borrow_mut().issuers.issuer(handle.node());
     let decision = if issuer == gateway.settings.address {
-        decide(gateway, handle, context.size, gateway.now())
+        decide(gateway, handle, claim, gateway.now())
     } else {
-        ask(gateway, issuer, handle, context.size).await
+        ask(gateway, issuer, handle, claim).await
     };
     let Decision::Denied(retry_ms) = decision else {
         gateway.metrics.permits.with_label_values(&["issued"]).inc();
@@ -49,13 +50,12 @@
     };
     gateway.metrics.permits.with_label_values(&["denied"]).inc();
     spdlog::info!(
-        "permit: id={} endpoint={} denied=true size={:?} rate_limit={rate} issuer={issuer} \
+        "permit: id={} endpoint={} denied=true claim={claim:?} rate_limit={rate} issuer={issuer} \
          retry_ms={retry_ms}",
         context.metadata.attempt_id,
-        handle.id(),
-        context.size
+        handle.id()
     );
-    handle.deny_permits_until(context.size, gateway.now() + retry_ms);
+    handle.deny_permits_until(claim, gateway.now() + retry_ms);
     false
 }
 
@@ -64,11 +64,11 @@
     gateway: &Gateway,
     issuer: Ipv4Addr,
     handle: &EndpointHandle,
-    size: RequestSize,
+    claim: Claim,
 ) -> Decision {
     let limit = handle.to_limit_sample(gateway.now());
     let (number, response) = gateway.permit_table.borrow_mut().add_pending();
-    let request = PermitRequest { number, endpoint: handle.node(), size, limit };
+    let request = PermitRequest { number, endpoint: handle.node(), claim, limit };
     datagrams::send_now(gateway, &Message::PermitRequest(request), &[issuer]);
     let decision = timeout(RESPONSE_TIMEOUT, response).await;
     gateway.permit_table.borrow_mut().take_pending(number);
@@ -84,7 +84,7 @@
     apply_samples(gateway, &[request.limit], now);
     let handle = gateway.endpoint_table.borrow().find(request.endpoint);
     let decision = match handle {
-        Some(handle) => decide(gateway, &handle, request.size, now),
+        Some(handle) => decide(gateway, &handle, request.claim, now),
         None => Decision::Denied(WRONG_ISSUER_RETRY_MS),
     };
     let retry_ms = match decision {
@@ -104,11 +104,11 @@
 }
 
 /// Issues a permit if this gateway is the one to issue it and the limit allows it.
-fn decide(gateway: &Gateway, handle: &EndpointHandle, size: RequestSize, now: Millis) -> Decision {
+fn decide(gateway: &Gateway, handle: &EndpointHandle, claim: Claim, now: Millis) -> Decision {
     let Some(rate) = handle.rate_limit() else { return Decision::Issued };
     let mut table = gateway.permit_table.borrow_mut();
     match table.issuers.own_start(handle.node()) {
-        Some(from) => table.permits.request(handle.node(), rate.into(), size, from, now),
+        Some(from) => table.permits.request(handle.node(), rate.into(), claim, from, now),
         None => Decision::Denied(WRONG_ISSUER_RETRY_MS),
     }
 }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::{
-    endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway, permits, quarantine,
-    request_context::RequestContext, retry_state::RetryState,
+    claims::Claims, endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway, permits,
+    quarantine, request_context::RequestContext, retry_state::RetryState,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
@@ -115,10 +115,11 @@
         if context.remaining_ms(gateway.now()) < MIN_REMAINING_MS {
             return Selection::Unavailable(Unavailable::Deadline);
         }
-        let may_ask = denied_permits < MAX_DENIED_PERMITS;
-        match select_endpoint(gateway, context, retry_state, progress, may_ask) {
+        let claims = Claims::new(gateway, context, denied_permits < MAX_DENIED_PERMITS);
+        match select_endpoint(gateway, context, retry_state, progress, &claims) {
             Selection::Endpoint(handle) => {
-                if permits::acquire(gateway, context, &handle).await {
+                let claim = claims.of(&handle);
+                if permits::acquire(gateway, context, &handle, claim).await {
                     break handle;
                 }
                 denied_permits += 1;
@@ -144,19 +145,20 @@
 /// Returns the time until the first endpoint of the request's service accepts requests again,
 /// in milliseconds; 0 if one accepts them now.
 pub(crate) fn wait_ms(gateway: &Gateway, context: &RequestContext) -> u64 {
+    let claims = Claims::new(gateway, context, true);
     let table = gateway.endpoint_table.borrow();
     let available = table.of_service(&context.service).iter().filter(|it| it.is_available());
-    available.map(|it| it.wait_ms(context.size)).min().unwrap_or_default()
+    available.map(|it| it.wait_ms(claims.of(it))).min().unwrap_or_default()
 }
 
-/// Selects an endpoint by load, locality, failure rate and cached prefix; one that limits its
-/// rate only if `may_ask` is set.
+/// Selects an endpoint by load, locality, failure rate and cached prefix; of those that limit
+/// their rate, one that `claims` allows.
 fn select_endpoint(
     gateway: &Gateway,
     context: &RequestContext,
     retry_state: &RetryState,
     progress: Progress,
-    may_ask: bool,
+    claims: &Claims,
 ) -> Selection {
     let now = gateway.now();
     let policy = &gateway.settings.policy;
@@ -164,12 +166,8 @@
     let table = gateway.endpoint_table.borrow();
     let loads = gateway.loads.borrow();
     let known = table.of_service(&context.service);
-    let mut untried: Vec<Rc<EndpointHandle>> = known
-        .iter()
-        .filter(|it| it.is_open(context.size) && retry_state.allows(it))
-        .cloned()
-        .collect();
-    prefer_unlimited(&mut untried, known, context, may_ask);
+    let untried = known.iter().filter(|it| it.is_open(claims.of(it)) && retry_state.allows(it));
+    let untried = claims.filter(untried.cloned().collect());
     let candidates = endpoint_table::to_candidates(&untried, &gateway.settings, &loads, now);
     let mut available: Vec<(Rc<EndpointHandle>, Candidate)> =
         untried.into_iter().zip(candidates).collect();
@@ -223,26 +221,6 @@
     Selection::Endpoint(handle.clone())
 }
 
-/// Removes endpoints that limit their rate: those that the request's prefix does not belong
-/// to, which need not have it cached, and all if no more permits may be asked for. If there are
-/// no others, only the latter are removed.
-fn prefer_unlimited(
-    open: &mut Vec<Rc<EndpointHandle>>,
-    known: &[Rc<EndpointHandle>],
-    context: &RequestContext,
-    may_ask: bool,
-) {
-    if !may_ask {
-        return open.retain(|it| it.rate_limit().is_none());
-    }
-    let Some(prefix) = context.prefix else { return };
-    let available = known.iter().filter(|it| it.is_available());
-    let home = placement::home(prefix, available.map(|it| it.node()));
-    if open.iter().any(|it| it.rate_limit().is_none()) {
-        open.retain(|it| it.rate_limit().is_none() || home == Some(it.node()));
-    }
-}
-
 /// Returns the number of requests that an engine of the request's service runs
 /// in one batch, or `None` if the service has no engines.
 fn batch_slots(gateway: &Gateway, context: &RequestContext) -> Option<u32> {
--- a/crates/policy/src/permits.rs
+++ b/crates/policy/src/permits.rs
@@ -4,7 +4,8 @@
 //! bucket starts empty, so that a gateway that takes over adds no burst of its own to what
 //! its predecessor has just issued, and holds few tokens, so that permits that were not
 //! wanted for a while do not add up. Since the limit counts requests, whatever their size, the
-//! permits go to large requests first: small ones get only what those leave in a full bucket.
+//! permits go first to large requests that the endpoint is best for: the others get only what
+//! those leave in a full bucket.
 
 use std::collections::HashMap;
 
@@ -32,7 +33,7 @@
 }
 
 /// Size of a request, compared to the others of its service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestSize {
     /// At least as large as the mean, or of unknown size.
     Large,
@@ -40,12 +41,21 @@
     Small,
 }
 
-impl RequestSize {
-    /// Returns the number of permits that must be available for such a request.
+/// Which permits a request may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claim {
+    /// Any permit: the request is large, and the endpoint is the best one for it.
+    Preferred,
+    /// One that is left over.
+    Spare,
+}
+
+impl Claim {
+    /// Returns the number of permits that must be available.
     fn min_tokens(self) -> f64 {
         match self {
-            RequestSize::Large => 1.0,
-            RequestSize::Small => MAX_BURST,
+            Claim::Preferred => 1.0,
+            Claim::Spare => MAX_BURST,
         }
     }
 }
@@ -80,15 +90,15 @@
 }
 
 impl Permits {
-    /// Issues a permit for a request of `size` to `endpoint`, which accepts `rate` requests
-    /// per second, unless the limit is reached.
+    /// Issues a permit for a request to `endpoint`, which accepts `rate` requests per second,
+    /// unless the limit is reached or `claim` does not suffice.
     ///
     /// `issuer_since` is the time from which this gateway issues the endpoint's permits.
     pub fn request(
         &mut self,
         endpoint: u64,
         rate: f64,
-        size: RequestSize,
+        claim: Claim,
         issuer_since: Millis,
         now: Millis,
     ) -> Decision {
@@ -106,7 +116,7 @@
         let elapsed_s = now.since(bucket.updated_at) as f64 / 1_000.0;
         bucket.tokens = (bucket.tokens + elapsed_s * rate).min(MAX_BURST);
         bucket.updated_at = now;
-        let missing = size.min_tokens() - bucket.tokens;
+        let missing = claim.min_tokens() - bucket.tokens;
         if missing > 0.0 {
             return Decision::Denied(interval_ms(rate, missing));
         }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -75,10 +75,13 @@
         .or_else(|| choose_of_two(settings, candidates, random))
 }
 
-/// Returns the endpoint that a prompt prefix belongs to while none is over its load bound.
-pub fn home(prefix: u64, nodes: impl Iterator<Item = u64>) -> Option<u64> {
-    let score = |node: &u64| rendezvous_score(prefix, *node, 1.0);
-    nodes.max_by(|a, b| score(a).total_cmp(&score(b)))
+/// Returns the endpoints in the order in which they are chosen for a prompt prefix while none
+/// is over its load bound.
+pub fn rank(prefix: u64, nodes: impl Iterator<Item = u64>) -> Vec<u64> {
+    let score = |node| rendezvous_score(prefix, node, 1.0);
+    let mut scored: Vec<(f64, u64)> = nodes.map(|it| (score(it), it)).collect();
+    scored.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
+    scored.into_iter().map(|(_, node)| node).collect()
 }
 
 /// Returns the load up to which an engine is chosen for its cached prefix.
