--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -206,9 +206,12 @@
     /// Returns whether the endpoint may be sent new requests, now or after some time in which
     /// it accepts none.
     pub(crate) fn is_available(&self) -> bool {
-        self.endpoint.borrow().state == EndpointState::Ready
-            && self.health.borrow().is_up()
-            && !self.is_leaving.get()
+        self.is_ready() && self.is_reachable()
+    }
+
+    /// Returns whether the endpoint accepts new requests, as far as it has said.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.endpoint.borrow().state == EndpointState::Ready && !self.is_leaving.get()
     }
 
     /// Records that the endpoint has sent something after it was silent.
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -46,6 +46,22 @@
         .collect()
 }
 
+/// Numbers of endpoints of all services.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Reach {
+    /// Endpoints that accept requests.
+    pub(crate) ready: usize,
+    /// Those of them that this gateway reaches.
+    pub(crate) reachable: usize,
+}
+
+impl Reach {
+    /// Returns whether the gateway reaches none of the endpoints.
+    pub(crate) fn is_cut_off(self) -> bool {
+        self.ready > 0 && self.reachable == 0
+    }
+}
+
 /// The handles of all listed endpoints, with indexes for lookup.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointTable {
@@ -101,6 +117,15 @@
         self.by_short_number.get(&short_number).map(|it| &**it)
     }
 
+    /// Counts the endpoints that accept requests, and those of them that this gateway reaches.
+    pub(crate) fn count_ready(&self) -> Reach {
+        let ready = self.handles.values().filter(|it| it.is_ready());
+        ready.fold(Reach::default(), |sum, it| Reach {
+            ready: sum.ready + 1,
+            reachable: sum.reachable + usize::from(it.is_reachable()),
+        })
+    }
+
     /// Iterates over all endpoints.
     pub(crate) fn handles(&self) -> impl Iterator<Item = &Rc<EndpointHandle>> {
         self.handles.values()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -79,6 +79,8 @@
     pub(crate) unsent_origins: RefCell<Vec<StreamOrigin>>,
     /// Notified when another gateway has sent the origin of a stream.
     pub(crate) origin_received: Notify,
+    /// Whether this gateway reaches no endpoint, as last logged.
+    pub(crate) was_cut_off: Cell<bool>,
     pub(crate) loads: Rc<RefCell<Loads>>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) permit_table: RefCell<PermitTable>,
@@ -141,6 +143,7 @@
             stream_origins: RefCell::default(),
             unsent_origins: RefCell::default(),
             origin_received: Notify::new(),
+            was_cut_off: Cell::new(false),
             loads: Rc::default(),
             peers: RefCell::new(peers),
             permit_table: RefCell::new(permit_table),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -178,6 +178,7 @@
     let position = gateway.endpoints.borrow().position();
     gateway.apply_changes(Vec::new(), position);
     permits::run_maintenance(gateway);
+    log_reach(gateway);
     for handle in gateway.endpoint_table.borrow().handles() {
         handle.pool.close_expired();
         let handle = handle.clone();
@@ -187,6 +188,14 @@
     }
 }
 
+/// Logs that the gateway has lost all endpoints, or regained one.
+fn log_reach(gateway: &Gateway) {
+    let reach = gateway.endpoint_table.borrow().count_ready();
+    if gateway.was_cut_off.replace(reach.is_cut_off()) != reach.is_cut_off() {
+        spdlog::info!("reach: reachable={} ready={}", reach.reachable, reach.ready);
+    }
+}
+
 /// Shuts the gateway down gracefully: reports not ready, stops accepting
 /// connections after [`DRAIN_DELAY`], and waits until the open ones have closed
 /// or the grace period ends.
