--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -53,7 +53,9 @@
 /// milliseconds.
 pub(crate) async fn send_round(gateway: &Gateway, socket: &UdpSocket, round: u64) -> u64 {
     let now = gateway.now();
-    if let Some(bytes) = datagrams::encode(&Message::Heartbeat(build_heartbeat(gateway, now))) {
+    if let Some(bytes) =
+        datagrams::encode(&Message::Heartbeat(Box::new(build_heartbeat(gateway, now))))
+    {
         let ready = gateway.is_ready();
         let recipients = gateway.peers.borrow_mut().begin_round(round, ready, bytes.len(), now);
         datagrams::send(gateway, socket, &bytes, &recipients).await;
@@ -157,7 +159,7 @@
                 continue;
             }
             Ok(Message::Heartbeat(heartbeat)) => {
-                handle_heartbeat(&gateway, *from.ip(), heartbeat);
+                handle_heartbeat(&gateway, *from.ip(), *heartbeat);
             }
             Ok(Message::Changes(summary, batch)) => {
                 gateway.apply_batch(batch, &summary);
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -85,7 +85,7 @@
 pub(crate) enum Message {
     /// Sent by every gateway, at an interval that grows with the size of the
     /// fleet.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// Sent by a gateway that has just read changes of the endpoint list.
     Changes(StateSummary, ChangeBatch),
     /// Sent by a gateway that has begun a stream, and in response to a query.
