Connect to endpoints from the VM's own address

A VM may have several addresses; connections to endpoints now come from the one in the settings, as datagrams to other gateways do. In tests on one machine this gives each gateway paths of its own to the endpoints, which are listed under 0.0.0.0, so that one of several gateways can lose all of them.

--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::Ipv4Addr,
     rc::Rc,
 };
 
@@ -60,14 +61,16 @@
 }
 
 impl EndpointHandle {
-    /// Creates a handle without requests or connections.
+    /// Creates a handle without requests or connections; connections will be opened from the
+    /// address `local`.
     pub(crate) fn new(
         endpoint: Endpoint,
+        local: Ipv4Addr,
         mean_duration: Rc<Cell<MeanDuration>>,
         clock: Clock,
     ) -> EndpointHandle {
         let node = node_number(&endpoint);
-        let pool = Pool::new(endpoint.address, clock);
+        let pool = Pool::new(endpoint.address, clock).from_local(local);
         EndpointHandle {
             endpoint: RefCell::new(endpoint),
             pool,
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -126,7 +126,11 @@
     /// Updates the digest and the endpoint table after a change of the list.
     fn update_endpoint_table(&self, endpoints: &Endpoints) {
         self.list_digest.set(endpoints.digest());
-        self.endpoint_table.borrow_mut().update(endpoints.iter(), self.clock);
+        self.endpoint_table.borrow_mut().update(
+            endpoints.iter(),
+            self.settings.address,
+            self.clock,
+        );
         self.builds.borrow_mut().record(endpoints.iter(), self.now());
     }
 
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -1,6 +1,6 @@
 //! The table of all listed endpoints, and endpoints as candidates for placement.
 
-use std::{cell::Cell, collections::HashMap, rc::Rc};
+use std::{cell::Cell, collections::HashMap, net::Ipv4Addr, rc::Rc};
 
 use mimosaledge_core::{Millis, Name};
 use mimosaledge_policy::{
@@ -75,8 +75,13 @@
 
 impl EndpointTable {
     /// Updates the table to match the endpoint list; requests in flight at a
-    /// removed endpoint continue.
-    pub(crate) fn update<'a>(&mut self, listed: impl Iterator<Item = &'a Endpoint>, clock: Clock) {
+    /// removed endpoint continue. New ones are connected to from the address `local`.
+    pub(crate) fn update<'a>(
+        &mut self,
+        listed: impl Iterator<Item = &'a Endpoint>,
+        local: Ipv4Addr,
+        clock: Clock,
+    ) {
         let mut previous = std::mem::take(&mut self.handles);
         self.by_service.clear();
         self.by_short_number.clear();
@@ -90,7 +95,7 @@
                 None => {
                     let mean_duration = self.mean_durations.entry(endpoint.service.clone());
                     let mean_duration = mean_duration.or_default().clone();
-                    Rc::new(EndpointHandle::new(endpoint.clone(), mean_duration, clock))
+                    Rc::new(EndpointHandle::new(endpoint.clone(), local, mean_duration, clock))
                 }
             };
             self.by_service.entry(endpoint.service.clone()).or_default().push(handle.clone());
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,7 +1,12 @@
 //! HTTP connection pool for one server.
 
 use std::{
-    cell::RefCell, collections::VecDeque, error::Error, io, net::SocketAddrV4, time::Duration,
+    cell::RefCell,
+    collections::VecDeque,
+    error::Error,
+    io,
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -13,7 +18,7 @@
 };
 use hyper_util::rt::TokioIo;
 use mimosaledge_core::Millis;
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{task::AbortHandle, time::timeout};
 
 use crate::{clock::Clock, socket};
 
@@ -68,6 +73,8 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     address: SocketAddrV4,
+    /// Local address of the connections, if it matters.
+    local: Option<Ipv4Addr>,
     clock: Clock,
     idle: RefCell<VecDeque<Connection>>,
 }
@@ -75,7 +82,12 @@
 impl Pool {
     /// Creates an empty pool.
     pub(crate) fn new(address: SocketAddrV4, clock: Clock) -> Pool {
-        Pool { address, clock, idle: RefCell::default() }
+        Pool { address, local: None, clock, idle: RefCell::default() }
+    }
+
+    /// Connects from the address `local`.
+    pub(crate) fn from_local(self, local: Ipv4Addr) -> Pool {
+        Pool { local: Some(local), ..self }
     }
 
     /// Sends a request and waits for the response head.
@@ -130,7 +142,7 @@
 
     /// Returns whether the server accepts connections.
     pub(crate) async fn try_connect(&self) -> bool {
-        match timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await {
+        match timeout(CONNECT_TIMEOUT, socket::connect(self.local, self.address)).await {
             Ok(connected) => connected.is_ok(),
             Err(_) => false,
         }
@@ -156,7 +168,7 @@
 
     async fn connect(&self) -> Result<Connection, SendError> {
         let connecting = async {
-            let stream = TcpStream::connect(self.address).await?;
+            let stream = socket::connect(self.local, self.address).await?;
             socket::set_options(&stream)?;
             socket::reset_on_close(&stream)?;
             Ok::<_, std::io::Error>(stream)
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{SocketAddr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     time::Duration,
 };
 
@@ -35,6 +35,18 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// Connects to `address`, from the local address `local` if there is one.
+pub(crate) async fn connect(
+    local: Option<Ipv4Addr>,
+    address: SocketAddrV4,
+) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if let Some(local) = local {
+        socket.bind((local, 0).into())?;
+    }
+    socket.connect(address.into()).await
+}
+
 /// Resets the connection when it is closed, so that a request that was given up is not
 /// retransmitted: a cut link would deliver it once it works again.
 pub(crate) fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
