Hand requests over to a gateway that reaches endpoints

Cause: a gateway that reached no endpoint could only reject, and stayed in the directory, since readiness follows from the list of endpoints. Leaving the directory alone was ruled out: clients keep an answer for seconds. Finding out took up to 3.6 s, one endpoint after the other.

A gateway that reaches none of the endpoints of a request's service now hands it over to another one that reaches some, by HTTP on a port of its own, with the time left; that one serves it as a client's, and never hands it on. Only gateways may connect to that port. A request that may have run is handed over only if it may be repeated. If an endpoint cannot be reached or is silent, three others are tried at once, and all if these fail too. Heartbeats say that a gateway is cut off, so that no directory lists it, unless all are.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,7 @@
     loads::InFlight,
     permits,
     pool::{Connection, SendError},
-    quarantine,
+    quarantine, reach,
     request_context::RequestContext,
     selection,
 };
@@ -99,10 +99,12 @@
     let (response, mut connection) = match sent {
         Ok(sent) => sent,
         Err(SendError::Unreachable) => {
+            reach::start_check(gateway);
             handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
             return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "unreachable"));
         }
         Err(SendError::ConnectionLost { idle_ms, io }) => {
+            reach::start_check(gateway);
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
             quarantine::check_for_crash(gateway, context, handle, None);
             let cause = format!("connection broken, idle_ms={idle_ms:?}, io={io:?}");
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use hyper::Response;
+use mimosaledge_core::hash::hash64;
 use mimosaledge_net::server::{ReplyBody, full_body};
 use mimosaledge_policy::{
     RetryPolicy,
@@ -15,6 +16,7 @@
     attempt::{Attempt, AttemptError, OpenResponse, log_failure, log_silence},
     body_buffer::{self, BodyError},
     error_response::{Code, ErrorResponse},
+    forward::{self, ForwardError},
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     quarantine, relay,
@@ -49,6 +51,9 @@
     if let Some(retry_ms) = quarantine::find_refusal(gateway, &context) {
         return Err(ErrorResponse::with_retry_after(Code::Crasher, retry_ms));
     }
+    if forward::is_due(gateway, &context) {
+        return forward::run(gateway, &context).await.map_err(|it| forward_error(&context, it));
+    }
     let mut retry_state = RetryState { build: context.build, ..RetryState::default() };
     let progress = if context.build.is_some() { Progress::Started } else { Progress::New };
     let mut server_error = None;
@@ -115,7 +120,37 @@
             break;
         }
     }
-    server_error.ok_or_else(|| final_error(gateway, &context, &retry_state, last_error))
+    if let Some(response) = server_error {
+        return Ok(response);
+    }
+    let may_run = retry_state.ran == 0
+        || (context.route().retry != RetryPolicy::Never
+            && retry_state.ran < context.route().max_attempts);
+    if may_run && forward::is_due(gateway, &context) {
+        return forward::run(gateway, &context).await.map_err(|it| match it {
+            ForwardError::NotRun => final_error(gateway, &context, &retry_state, last_error),
+            ForwardError::Unknown | ForwardError::Timeout => forward_error(&context, it),
+        });
+    }
+    Err(final_error(gateway, &context, &retry_state, last_error))
+}
+
+/// Returns the error response for a request that was handed over to another gateway, which
+/// has not answered it.
+fn forward_error(context: &RequestContext, error: ForwardError) -> ErrorResponse {
+    match error {
+        ForwardError::NotRun => {
+            ErrorResponse::with_retry_after(Code::NoEndpoint, retry_after_ms(context, 0))
+        }
+        ForwardError::Unknown => ErrorResponse::from_code(Code::Unknown),
+        ForwardError::Timeout => ErrorResponse::from_code(Code::Timeout),
+    }
+}
+
+/// Returns the retry delay for a request that can be accepted after `wait_ms`.
+fn retry_after_ms(context: &RequestContext, wait_ms: u64) -> u64 {
+    let jitter_ms = hash64(context.metadata.attempt_id.as_bytes()) % MIN_RETRY_AFTER_MS;
+    MIN_RETRY_AFTER_MS.max(wait_ms) + jitter_ms
 }
 
 /// Returns whether no other endpoint needs to be tried after this response.
@@ -235,8 +270,6 @@
     } else {
         Code::Refused
     };
-    let jitter_ms =
-        mimosaledge_core::hash::hash64(context.metadata.attempt_id.as_bytes()) % MIN_RETRY_AFTER_MS;
-    let retry_ms = MIN_RETRY_AFTER_MS.max(selection::wait_ms(gateway, context));
-    ErrorResponse::with_retry_after(code, retry_ms + jitter_ms)
+    let wait_ms = selection::wait_ms(gateway, context);
+    ErrorResponse::with_retry_after(code, retry_after_ms(context, wait_ms))
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,6 +1,9 @@
 //! Gateway directory for clients, and readiness checks.
 
-use std::{net::SocketAddrV4, rc::Rc};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    rc::Rc,
+};
 
 use hyper::{Request, Response, body::Incoming, header::CONTENT_TYPE, header::HeaderValue};
 use mimosaledge_net::server::{ReplyBody, reply};
@@ -37,16 +40,19 @@
 }
 
 /// Returns the addresses of ready gateways in all data centres, at most
-/// [`MAX_ADDRESSES`].
+/// [`MAX_ADDRESSES`]; those that reach no endpoint only if none does.
 fn ready_gateways(gateway: &Gateway, _data_centre: &str) -> Vec<SocketAddrV4> {
     let port = gateway.settings.listen.clients.port();
-    let mut addresses: Vec<SocketAddrV4> = gateway
-        .peers
-        .borrow()
-        .ready(gateway.now())
-        .map(|address| SocketAddrV4::new(address, port))
-        .collect();
-    if gateway.is_ready() {
+    let (peers, now) = (gateway.peers.borrow(), gateway.now());
+    let mut gateways: Vec<Ipv4Addr> = peers.serving(now).collect();
+    let mut lists_own = gateway.is_ready() && !gateway.is_cut_off();
+    if gateways.is_empty() && !lists_own {
+        gateways = peers.ready(now).collect();
+        lists_own = gateway.is_ready();
+    }
+    let mut addresses: Vec<SocketAddrV4> =
+        gateways.into_iter().map(|it| SocketAddrV4::new(it, port)).collect();
+    if lists_own {
         addresses.push(gateway.settings.listen.clients);
     }
     addresses.truncate(MAX_ADDRESSES);
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -70,7 +70,7 @@
         clock: Clock,
     ) -> EndpointHandle {
         let node = node_number(&endpoint);
-        let pool = Pool::new(endpoint.address, clock).from_local(local);
+        let pool = Pool::new(endpoint.address, clock).with_local(local);
         EndpointHandle {
             endpoint: RefCell::new(endpoint),
             pool,
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -46,7 +46,7 @@
         .collect()
 }
 
-/// Numbers of endpoints of all services.
+/// Numbers of endpoints.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Reach {
     /// Endpoints that accept requests.
@@ -56,6 +56,13 @@
 }
 
 impl Reach {
+    fn count<'a>(handles: impl Iterator<Item = &'a Rc<EndpointHandle>>) -> Reach {
+        handles.filter(|it| it.is_ready()).fold(Reach::default(), |sum, it| Reach {
+            ready: sum.ready + 1,
+            reachable: sum.reachable + usize::from(it.is_reachable()),
+        })
+    }
+
     /// Returns whether the gateway reaches none of the endpoints.
     pub(crate) fn is_cut_off(self) -> bool {
         self.ready > 0 && self.reachable == 0
@@ -124,11 +131,12 @@
 
     /// Counts the endpoints that accept requests, and those of them that this gateway reaches.
     pub(crate) fn count_ready(&self) -> Reach {
-        let ready = self.handles.values().filter(|it| it.is_ready());
-        ready.fold(Reach::default(), |sum, it| Reach {
-            ready: sum.ready + 1,
-            reachable: sum.reachable + usize::from(it.is_reachable()),
-        })
+        Reach::count(self.handles.values())
+    }
+
+    /// Counts those of one service.
+    pub(crate) fn reach_of_service(&self, service: &str) -> Reach {
+        Reach::count(self.of_service(service).iter())
     }
 
     /// Iterates over all endpoints.
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,215 @@
+//! Hands requests over to another gateway, which reaches endpoints that this one does not.
+//!
+//! A request is handed over at most once: the other gateway serves it as it would serve a
+//! client's, but never hands it on. The header [`DEADLINE_HEADER`] marks such a request and
+//! states the time left.
+
+use std::{net::Ipv4Addr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::{
+    Request, Response, StatusCode, Version,
+    body::{Frame, Incoming},
+    header::{HeaderName, HeaderValue},
+    http::response,
+};
+use mimosaledge_core::hash::hash64;
+use mimosaledge_net::server::{Aborted, ReplyBody, full_body};
+use tokio::time::timeout;
+
+use crate::{
+    body_buffer,
+    gateway::Gateway,
+    headers::strip_hop_by_hop_headers,
+    pool::{Connection, Pool, SendError},
+    request_context::RequestContext,
+};
+
+/// Time left until the deadline of a request that another gateway has handed over, in
+/// milliseconds.
+pub(crate) const DEADLINE_HEADER: HeaderName = HeaderName::from_static("gateway-deadline-ms");
+/// Maximum number of gateways that a request is offered to.
+const MAX_PEERS: usize = 2;
+/// Time for which requests to a service are not handed over after another gateway has
+/// rejected one, in milliseconds.
+const REJECTED_PAUSE_MS: u64 = 500;
+
+/// Why no other gateway has answered a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ForwardError {
+    /// The request did not run and will not.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+    /// The request may have run; the response timed out.
+    Timeout,
+}
+
+impl ForwardError {
+    fn metric_label(self) -> &'static str {
+        match self {
+            ForwardError::NotRun => "not_run",
+            ForwardError::Unknown => "unknown",
+            ForwardError::Timeout => "timeout",
+        }
+    }
+}
+
+/// Returns whether a request should be handed over: this gateway reaches none of the
+/// endpoints of its service that accept requests, and another gateway may.
+pub(crate) fn is_due(gateway: &Gateway, context: &RequestContext) -> bool {
+    let now = gateway.now();
+    let table = gateway.endpoint_table.borrow();
+    !context.is_forwarded
+        && table.reach_of_service(&context.service).is_cut_off()
+        && !gateway.forward_table.borrow().is_paused(&context.service, now)
+        && gateway.peers.borrow().serving(now).next().is_some()
+}
+
+/// Hands a request over to another gateway and returns its response.
+///
+/// # Errors
+///
+/// Returns an error that states whether the request may have run.
+pub(crate) async fn run(
+    gateway: &Rc<Gateway>,
+    context: &Rc<RequestContext>,
+) -> Result<Response<ReplyBody>, ForwardError> {
+    let mut peers: Vec<Ipv4Addr> = gateway.peers.borrow().serving(gateway.now()).collect();
+    let hash = hash64(context.metadata.attempt_id.as_bytes());
+    peers.sort_unstable_by_key(|it| hash64(&(hash ^ u64::from(it.to_bits())).to_le_bytes()));
+    let mut last_error = ForwardError::NotRun;
+    for peer in peers.into_iter().take(MAX_PEERS) {
+        match send(gateway, context, peer).await {
+            Ok(response) => {
+                log_outcome(gateway, context, peer, response.status().as_str());
+                return Ok(response);
+            }
+            Err(error) => {
+                log_outcome(gateway, context, peer, error.metric_label());
+                last_error = error;
+            }
+        }
+        if last_error != ForwardError::NotRun {
+            break;
+        }
+    }
+    Err(last_error)
+}
+
+fn log_outcome(gateway: &Gateway, context: &RequestContext, peer: Ipv4Addr, outcome: &str) {
+    gateway.metrics.forwards.with_label_values(&[outcome]).inc();
+    spdlog::info!(
+        "forward: id={} route={} peer={peer} outcome={outcome} elapsed_ms={}",
+        context.metadata.attempt_id,
+        context.route().name,
+        gateway.now().since(context.arrived)
+    );
+}
+
+/// Offers a request to one gateway.
+async fn send(
+    gateway: &Rc<Gateway>,
+    context: &Rc<RequestContext>,
+    peer: Ipv4Addr,
+) -> Result<Response<ReplyBody>, ForwardError> {
+    let pool = gateway.forward_table.borrow_mut().pool(gateway, peer);
+    let sent = timeout(remaining(gateway, context), pool.send(build_request(gateway, context)));
+    let (response, connection) = match sent.await {
+        Ok(Ok(sent)) => sent,
+        Ok(Err(SendError::Unreachable)) => return Err(ForwardError::NotRun),
+        Ok(Err(SendError::ConnectionLost { .. })) => return Err(ForwardError::Unknown),
+        Err(_) => return Err(ForwardError::Timeout),
+    };
+    let (mut head, body) = response.into_parts();
+    let is_sealed = gateway.dialect.decode_response(&head).sealed;
+    if head.status == StatusCode::SERVICE_UNAVAILABLE && !is_sealed {
+        let now = gateway.now();
+        gateway.forward_table.borrow_mut().pause(&context.service, now + REJECTED_PAUSE_MS);
+    }
+    strip_hop_by_hop_headers(&mut head.headers);
+    let body = PeerBody { gateway: gateway.clone(), context: context.clone(), connection, body };
+    if context.route().streaming && head.status.is_success() {
+        return Ok(Response::from_parts(head, body.into_stream()));
+    }
+    body.collect(head, &pool).await
+}
+
+fn build_request(gateway: &Gateway, context: &RequestContext) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(context.body.clone()));
+    *request.method_mut() = context.head.method.clone();
+    *request.uri_mut() = context.head.uri.clone();
+    *request.version_mut() = Version::HTTP_11;
+    let mut headers = context.head.headers.clone();
+    strip_hop_by_hop_headers(&mut headers);
+    let remaining_ms = context.remaining_ms(gateway.now());
+    headers.insert(DEADLINE_HEADER, HeaderValue::from(remaining_ms));
+    *request.headers_mut() = headers;
+    request
+}
+
+fn remaining(gateway: &Gateway, context: &RequestContext) -> Duration {
+    Duration::from_millis(context.remaining_ms(gateway.now()))
+}
+
+/// The body of another gateway's response; dropping it cancels the request there.
+struct PeerBody {
+    gateway: Rc<Gateway>,
+    context: Rc<RequestContext>,
+    connection: Connection,
+    body: Incoming,
+}
+
+impl PeerBody {
+    /// Forwards the body as it arrives, until the deadline.
+    fn into_stream(self) -> ReplyBody {
+        let frames = unfold(Some(self), |body| async {
+            let mut body = body?;
+            let wait = remaining(&body.gateway, &body.context);
+            match timeout(wait, body.body.frame()).await {
+                Ok(None) => None,
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    Some((Ok(Frame::data(data)), Some(body)))
+                }
+                Ok(Some(Err(err))) => {
+                    body.log_broken(&err.to_string());
+                    Some((Err(Aborted), None))
+                }
+                Err(_) => {
+                    body.log_broken("timed out");
+                    Some((Err(Aborted), None))
+                }
+            }
+        });
+        Box::pin(StreamBody::new(frames))
+    }
+
+    /// Receives the whole body and returns the connection to the pool.
+    async fn collect(
+        self,
+        head: response::Parts,
+        pool: &Pool,
+    ) -> Result<Response<ReplyBody>, ForwardError> {
+        let wait = remaining(&self.gateway, &self.context);
+        let received = body_buffer::receive(self.body, &self.gateway.buffer_total);
+        match timeout(wait, received).await {
+            Ok(Ok(bytes)) => {
+                pool.release(self.connection);
+                Ok(Response::from_parts(head, full_body(bytes)))
+            }
+            Ok(Err(_)) => Err(ForwardError::Unknown),
+            Err(_) => Err(ForwardError::Timeout),
+        }
+    }
+
+    fn log_broken(&self, cause: &str) {
+        spdlog::info!(
+            "forward: id={} outcome=broken cause={cause:?} elapsed_ms={}",
+            self.context.metadata.attempt_id,
+            self.gateway.now().since(self.context.arrived)
+        );
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
     dialect::Dialect,
     drain::Drain,
     endpoint_table::EndpointTable,
+    forward_table::ForwardTable,
     loads::Loads,
     messages::{ChangeBatch, StateSummary},
     metrics::Metrics,
@@ -79,6 +80,9 @@
     pub(crate) unsent_origins: RefCell<Vec<StreamOrigin>>,
     /// Notified when another gateway has sent the origin of a stream.
     pub(crate) origin_received: Notify,
+    pub(crate) forward_table: RefCell<ForwardTable>,
+    /// When this gateway last checked which endpoints it reaches.
+    pub(crate) reach_checked: Cell<Millis>,
     /// Whether this gateway reaches no endpoint, as last logged.
     pub(crate) was_cut_off: Cell<bool>,
     pub(crate) loads: Rc<RefCell<Loads>>,
@@ -143,6 +147,8 @@
             stream_origins: RefCell::default(),
             unsent_origins: RefCell::default(),
             origin_received: Notify::new(),
+            forward_table: RefCell::default(),
+            reach_checked: Cell::default(),
             was_cut_off: Cell::new(false),
             loads: Rc::default(),
             peers: RefCell::new(peers),
@@ -187,6 +193,11 @@
             && self.endpoints.borrow().any_ready()
     }
 
+    /// Returns whether this gateway reaches none of the endpoints that accept requests.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.endpoint_table.borrow().count_ready().is_cut_off()
+    }
+
     /// Returns whether the store or a peer has confirmed the configuration
     /// in the last [`CONFIG_STALE_MS`] milliseconds, and no live peer has a newer one.
     pub(crate) fn is_config_fresh(&self) -> bool {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -56,8 +56,8 @@
     if let Some(bytes) =
         datagrams::encode(&Message::Heartbeat(Box::new(build_heartbeat(gateway, now))))
     {
-        let ready = gateway.is_ready();
-        let recipients = gateway.peers.borrow_mut().begin_round(round, ready, bytes.len(), now);
+        let status = (gateway.is_ready(), gateway.is_cut_off());
+        let recipients = gateway.peers.borrow_mut().begin_round(round, status, bytes.len(), now);
         datagrams::send(gateway, socket, &bytes, &recipients).await;
     }
     gateway.peers.borrow().round_interval_ms()
@@ -98,6 +98,7 @@
     let loads = gateway.loads.borrow();
     Heartbeat {
         ready: gateway.is_ready(),
+        cut_off: gateway.is_cut_off(),
         summary: gateway.state_summary(),
         request_counts: if is_large {
             loads.shared_prefix_counts()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,8 @@
 //! | `permits`, `permit_table`, `rate_limit`, `claims` | keep the rate limits of endpoints with the other gateways |
 //! | `quarantine` | finds out what crashes endpoints, and refuses it |
 //! | `relay` | forwards a stream and resumes it at another endpoint |
+//! | `reach` | finds out that no endpoint is reachable |
+//! | `forward`, `forward_table` | hand requests over to a gateway that reaches endpoints |
 //! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
 //! | `origins` | finds the build that began a stream that a client resumes |
@@ -46,6 +48,8 @@
 mod error_response;
 mod follow;
 mod follow_config;
+mod forward;
+mod forward_table;
 mod gateway;
 mod gossip;
 mod headers;
@@ -62,6 +66,7 @@
 mod pool;
 mod quarantine;
 mod rate_limit;
+mod reach;
 mod relay;
 mod request;
 mod request_context;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,6 +1,6 @@
-//! Accepts and serves client connections.
+//! Accepts and serves connections from clients, and from gateways that hand requests over.
 
-use std::{convert::Infallible, pin::pin, rc::Rc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use hyper::{
     Request, Response,
@@ -17,7 +17,11 @@
     time,
 };
 
-use crate::{gateway::Gateway, request, socket};
+use crate::{
+    gateway::Gateway,
+    request::{self, Source},
+    socket,
+};
 
 /// Delay after a failed accept, for example when the process has run out of
 /// file descriptors.
@@ -28,18 +32,23 @@
 /// Minimum size of the read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
-/// Accepts and serves client connections until the task is aborted.
-pub(crate) async fn accept_clients(gateway: Rc<Gateway>, listener: TcpListener) {
+/// Accepts and serves connections from clients, or from gateways that hand requests over,
+/// until the task is aborted.
+pub(crate) async fn accept(gateway: Rc<Gateway>, listener: TcpListener, source: Source) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, from)) => {
+                if source == Source::Gateway && !is_gateway(&gateway, from) {
+                    spdlog::warn!("listener: address={from} is no gateway, connection dropped");
+                    continue;
+                }
                 if let Err(err) = socket::set_options(&stream) {
                     spdlog::warn!(
                         "listener: cannot set socket options, connection dropped, cause={err}"
                     );
                     continue;
                 }
-                spawn_local(serve_client(gateway.clone(), stream));
+                spawn_local(serve_connection(gateway.clone(), stream, source));
             }
             Err(err) => {
                 spdlog::warn!("listener: cannot accept, cause={err}");
@@ -49,12 +58,19 @@
     }
 }
 
+fn is_gateway(gateway: &Gateway, from: SocketAddr) -> bool {
+    match from {
+        SocketAddr::V4(from) => gateway.peers.borrow().is_known(*from.ip()),
+        SocketAddr::V6(_) => false,
+    }
+}
+
 /// Serves one connection; a graceful shutdown closes it after the request in
 /// flight.
-async fn serve_client(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream, source: Source) {
     let _guard = gateway.drain.count_connection();
     let limits = gateway.routes.borrow().limits();
-    let service = service_fn(|request| handle_request(gateway.clone(), request));
+    let service = service_fn(|request| handle_request(gateway.clone(), request, source));
     let connection = http1::Builder::new()
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .timer(TokioTimer::new())
@@ -72,8 +88,9 @@
 async fn handle_request(
     gateway: Rc<Gateway>,
     incoming: Request<Incoming>,
+    source: Source,
 ) -> Result<Response<ReplyBody>, Infallible> {
-    let mut response = request::serve(&gateway, incoming).await;
+    let mut response = request::serve(&gateway, incoming, source).await;
     if gateway.drain.is_stopping() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -118,6 +118,8 @@
 pub(crate) struct Heartbeat {
     /// Whether the gateway accepts requests.
     pub(crate) ready: bool,
+    /// Whether it reaches none of the endpoints.
+    pub(crate) cut_off: bool,
     /// Its configuration and endpoint list.
     pub(crate) summary: StateSummary,
     /// Its requests in flight; in a large fleet only totals of those that share
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     pub(crate) store_calls: IntCounterVec,
     pub(crate) peer_bytes: IntCounterVec,
     pub(crate) permits: IntCounterVec,
+    pub(crate) forwards: IntCounterVec,
     version: IntGauge,
     gateways: IntGauge,
 }
@@ -76,6 +77,13 @@
             ),
             &["decision"],
         )?;
+        let forwards = IntCounterVec::new(
+            Opts::new(
+                "mimosaledge_forwards_total",
+                "Requests handed over to another gateway, by outcome.",
+            ),
+            &["outcome"],
+        )?;
         let version =
             IntGauge::new("mimosaledge_config_version", "Version of the configuration in force.")?;
         let gateways = IntGauge::new("mimosaledge_gateways", "Gateways alive, this one included.")?;
@@ -86,6 +94,7 @@
         registry.register(Box::new(resumes.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(peer_bytes.clone()))?;
+        registry.register(Box::new(forwards.clone()))?;
         registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(gateways.clone()))?;
@@ -99,6 +108,7 @@
             store_calls,
             peer_bytes,
             permits,
+            forwards,
             version,
             gateways,
         })
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,6 +27,7 @@
 #[derive(Debug, Default)]
 struct Peer {
     ready: bool,
+    cut_off: bool,
     summary: StateSummary,
     /// When the last heartbeat arrived.
     heard_at: Millis,
@@ -50,8 +51,8 @@
     sound_parts: Vec<(u64, Millis)>,
     /// Whether the next round must reach all peers, also in a large fleet.
     is_urgent: bool,
-    /// Whether this gateway was ready in the last round.
-    was_ready: bool,
+    /// Whether this gateway was ready and whether it was cut off in the last round.
+    last_status: (bool, bool),
     /// Whether the totals in [`Loads`] must be recomputed.
     has_stale_totals: bool,
 }
@@ -68,7 +69,7 @@
             suspects: Vec::new(),
             sound_parts: Vec::new(),
             is_urgent: false,
-            was_ready: false,
+            last_status: (false, false),
             has_stale_totals: false,
         };
         for seed in settings.seeds.iter().flatten() {
@@ -114,6 +115,17 @@
         self.live_peers(now).filter(|(_, it)| it.ready).map(|(address, _)| address)
     }
 
+    /// Iterates over the live gateways that accept requests and reach endpoints.
+    pub(crate) fn serving(&self, now: Millis) -> impl Iterator<Item = Ipv4Addr> {
+        let serving = self.live_peers(now).filter(|(_, it)| it.ready && !it.cut_off);
+        serving.map(|(address, _)| address)
+    }
+
+    /// Returns whether a gateway has this address.
+    pub(crate) fn is_known(&self, address: Ipv4Addr) -> bool {
+        self.membership.is_known(address)
+    }
+
     /// Returns the gateways that may issue permits: those that are ready, and in a large fleet
     /// also those of which no heartbeat can be expected yet.
     pub(crate) fn possible_issuers(&self, now: Millis) -> Vec<Ipv4Addr> {
@@ -247,12 +259,19 @@
             self.add(address, now);
         }
         let peer = self.peers.entry(from).or_default();
-        if peer.ready != heartbeat.ready || !was_alive {
-            let version = heartbeat.summary.version;
-            spdlog::info!("peer: address={from} ready={} version={version}", heartbeat.ready);
+        let has_changed =
+            (peer.ready, peer.cut_off) != (heartbeat.ready, heartbeat.cut_off) || !was_alive;
+        if has_changed {
+            spdlog::info!(
+                "peer: address={from} ready={} cut_off={} version={}",
+                heartbeat.ready,
+                heartbeat.cut_off,
+                heartbeat.summary.version
+            );
         }
         let has_become_ready = heartbeat.ready && (!peer.ready || !was_alive);
         peer.ready = heartbeat.ready;
+        peer.cut_off = heartbeat.cut_off;
         peer.summary = heartbeat.summary;
         peer.heard_at = now;
         peer.request_counts = heartbeat.request_counts;
@@ -261,12 +280,12 @@
         has_become_ready
     }
 
-    /// Starts a round; returns the recipients of a heartbeat of `bytes` of
-    /// payload.
+    /// Starts a round; returns the recipients of a heartbeat of `bytes` of payload. `status`
+    /// says whether this gateway is ready and whether it reaches no endpoint.
     pub(crate) fn begin_round(
         &mut self,
         round: u64,
-        ready: bool,
+        status: (bool, bool),
         bytes: usize,
         now: Millis,
     ) -> Vec<Ipv4Addr> {
@@ -278,8 +297,8 @@
         }
         // Peers whose heartbeats have stopped no longer count in the totals.
         self.has_stale_totals = true;
-        let is_urgent = std::mem::take(&mut self.is_urgent) || ready != self.was_ready;
-        self.was_ready = ready;
+        let is_urgent = std::mem::take(&mut self.is_urgent) || status != self.last_status;
+        self.last_status = status;
         if is_urgent && self.is_large() {
             return self.urgent_recipients(now);
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -86,7 +86,7 @@
     }
 
     /// Connects from the address `local`.
-    pub(crate) fn from_local(self, local: Ipv4Addr) -> Pool {
+    pub(crate) fn with_local(self, local: Ipv4Addr) -> Pool {
         Pool { local: Some(local), ..self }
     }
 
@@ -129,6 +129,11 @@
         self.idle.borrow_mut().push_back(connection);
     }
 
+    /// Returns whether there are no idle connections.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.idle.borrow().is_empty()
+    }
+
     /// Closes all idle connections.
     pub(crate) fn clear(&self) {
         self.idle.borrow_mut().clear();
--- /dev/null
+++ b/crates/gateway/src/reach.rs
@@ -0,0 +1,65 @@
+//! Finds out quickly that this gateway has lost its links to all endpoints.
+//!
+//! When an endpoint cannot be reached, a few others are tried; if none of these accepts a
+//! connection, all are. Requests need not find out about one endpoint after the other.
+
+use std::rc::Rc;
+
+use futures_util::future::join_all;
+use mimosaledge_core::hash::hash64;
+use mimosaledge_policy::health::Outcome;
+use tokio::task::spawn_local;
+
+use crate::{endpoint_handle::EndpointHandle, gateway::Gateway};
+
+/// Number of endpoints that are tried first.
+const SAMPLE_SIZE: usize = 3;
+/// Minimum interval between two checks, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 1_000;
+
+/// Starts a check of the endpoints after one of them could not be reached, unless there was
+/// one just before.
+pub(crate) fn start_check(gateway: &Rc<Gateway>) {
+    let now = gateway.now();
+    if now.since(gateway.reach_checked.get()) < CHECK_INTERVAL_MS {
+        return;
+    }
+    gateway.reach_checked.set(now);
+    let gateway = gateway.clone();
+    spawn_local(async move { check(&gateway).await });
+}
+
+async fn check(gateway: &Gateway) {
+    let mut handles = shuffled(gateway, EndpointHandle::is_available);
+    if handles.is_empty() {
+        return;
+    }
+    let rest = handles.split_off(SAMPLE_SIZE.min(handles.len()));
+    if try_all(gateway, &handles).await == 0 {
+        let reached = try_all(gateway, &rest).await;
+        spdlog::info!("reach: checked={} reached={reached}", handles.len() + rest.len());
+    }
+}
+
+/// Returns the endpoints that fulfil a condition, in an order that differs each time.
+fn shuffled(
+    gateway: &Gateway,
+    condition: impl Fn(&EndpointHandle) -> bool,
+) -> Vec<Rc<EndpointHandle>> {
+    let salt = gateway.now().0;
+    let table = gateway.endpoint_table.borrow();
+    let mut handles: Vec<Rc<EndpointHandle>> =
+        table.handles().filter(|it| condition(it)).cloned().collect();
+    handles.sort_unstable_by_key(|it| hash64(&(it.node() ^ salt).to_le_bytes()));
+    handles
+}
+
+/// Tries to connect to all of `handles`, and records those that cannot be reached; returns
+/// the number of the others.
+async fn try_all(gateway: &Gateway, handles: &[Rc<EndpointHandle>]) -> usize {
+    let results = join_all(handles.iter().map(|it| it.pool.try_connect())).await;
+    for (handle, _) in handles.iter().zip(&results).filter(|(_, is_reached)| !**is_reached) {
+        handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, gateway.now());
+    }
+    results.into_iter().filter(|it| *it).count()
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -19,6 +19,7 @@
     attempts,
     dialect::{PromptPart, RequestMetadata},
     error_response::{Code, ErrorResponse},
+    forward,
     gateway::Gateway,
     origins,
     request_context::RequestContext,
@@ -28,6 +29,15 @@
 /// one, or no service for the route, in milliseconds.
 const CONFIG_RETRY_MS: u64 = 300;
 
+/// Who has sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// A client.
+    Client,
+    /// Another gateway, which hands a client's request over.
+    Gateway,
+}
+
 /// Logs a request that is dropped before it has a response.
 struct CancelLog {
     gateway: Rc<Gateway>,
@@ -55,10 +65,14 @@
 pub(crate) async fn serve(
     gateway: &Rc<Gateway>,
     incoming: Request<Incoming>,
+    source: Source,
 ) -> Response<ReplyBody> {
     let arrived = gateway.now();
-    let (head, body) = incoming.into_parts();
-    let metadata = gateway.dialect.decode_request(&head);
+    let (mut head, body) = incoming.into_parts();
+    let mut metadata = gateway.dialect.decode_request(&head);
+    if source == Source::Gateway {
+        metadata.deadline_ms = take_deadline(&mut head).or(metadata.deadline_ms);
+    }
     let attempt_id = metadata.attempt_id.clone();
     let mut cancel_log = CancelLog {
         gateway: gateway.clone(),
@@ -66,7 +80,7 @@
         arrived,
         finished: false,
     };
-    let result = match prepare(gateway, head, metadata, body, arrived).await {
+    let result = match prepare(gateway, head, metadata, body, arrived, source).await {
         Ok(context) => attempts::run(gateway, Rc::new(context)).await,
         Err(error) => Err(error),
     };
@@ -89,6 +103,11 @@
     response
 }
 
+/// Removes the time left that the gateway which hands a request over has stated.
+fn take_deadline(head: &mut Parts) -> Option<u64> {
+    head.headers.remove(forward::DEADLINE_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 /// Authorizes a request, reads its body and selects its service.
 async fn prepare(
     gateway: &Gateway,
@@ -96,6 +115,7 @@
     metadata: RequestMetadata,
     body: Incoming,
     arrived: Millis,
+    source: Source,
 ) -> Result<RequestContext, ErrorResponse> {
     let authorized = authorize(gateway, &head, &metadata)?;
     let timeout_ms = metadata.deadline_ms.unwrap_or(u64::MAX).min(authorized.route.timeout_ms);
@@ -137,6 +157,7 @@
         prefix,
         fingerprint,
         shared_parts,
+        is_forwarded: source == Source::Gateway,
         size,
         arrived,
         deadline,
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -26,6 +26,8 @@
     pub(crate) fingerprint: u64,
     /// Identifiers of the prompt's parts that other requests may share, in order.
     pub(crate) shared_parts: Vec<u64>,
+    /// Whether another gateway has handed the request over.
+    pub(crate) is_forwarded: bool,
     /// Size of the request, compared to the others of the service.
     pub(crate) size: RequestSize,
     pub(crate) arrived: Millis,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,6 +21,7 @@
     log_sink::LogSink,
     metrics::{self, Metrics},
     permits,
+    request::Source,
     settings::Settings,
     socket,
     store::Store,
@@ -140,6 +141,8 @@
     let address = gateway.settings.address;
     let sync_listener = socket::listen(std::net::SocketAddrV4::new(address, listen.peers))
         .wrap_err("cannot listen for peers")?;
+    let forward_listener = socket::listen(std::net::SocketAddrV4::new(address, listen.forward))
+        .wrap_err("cannot listen for requests of other gateways")?;
     let metrics_listener = socket::listen(std::net::SocketAddrV4::new(address, listen.metrics))
         .wrap_err("cannot listen for metrics")?;
     let state = gateway.clone();
@@ -155,7 +158,8 @@
         metrics::serve_metrics(state.clone(), req)
     }));
     spawn_local(sync::serve_syncs(gateway.clone(), sync_listener));
-    Ok(spawn_local(listener::accept_clients(gateway.clone(), client_listener)))
+    spawn_local(listener::accept(gateway.clone(), forward_listener, Source::Gateway));
+    Ok(spawn_local(listener::accept(gateway.clone(), client_listener, Source::Client)))
 }
 
 /// Closes idle connections and restarts the long poll for the configuration
@@ -179,6 +183,7 @@
     gateway.apply_changes(Vec::new(), position);
     permits::run_maintenance(gateway);
     log_reach(gateway);
+    gateway.forward_table.borrow_mut().close_expired();
     for handle in gateway.endpoint_table.borrow().handles() {
         handle.pool.close_expired();
         let handle = handle.clone();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -23,6 +23,8 @@
     pub directory: SocketAddrV4,
     /// Port for traffic between gateways, over UDP and TCP.
     pub peers: u16,
+    /// Port for requests that other gateways hand over.
+    pub forward: u16,
     /// Port for metrics.
     pub metrics: u16,
 }
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -14,6 +14,7 @@
     attempt::{Attempt, AttemptError, OpenResponse},
     endpoint_handle::EndpointHandle,
     gateway::Gateway,
+    reach,
     request_context::RequestContext,
     retry_state::RetryState,
     selection::{self, Selection},
@@ -137,6 +138,7 @@
             self.retry_state.sent,
             self.retry_state.ran
         );
+        reach::start_check(self.gateway);
         let policy = &self.gateway.settings.policy;
         self.handle.record_outcome(policy, Outcome::Silent, self.gateway.now());
     }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -197,6 +197,11 @@
             .collect()
     }
 
+    /// Returns whether a gateway with this address is a member, alive or not.
+    pub fn is_known(&self, address: Ipv4Addr) -> bool {
+        self.members.contains_key(&ring_position(address))
+    }
+
     /// Returns whether a gateway is believed to be alive.
     pub fn is_alive(&self, address: Ipv4Addr, now: Millis) -> bool {
         self.members.get(&ring_position(address)).is_some_and(|it| self.is_member_alive(it, now))
