Do not take requests that a cut interrupts for ones that crash endpoints

Callers whose requests were in flight when their gateway lost its links were refused afterwards (503, 3004), at all gateways: the gateway could not connect to the endpoints again, took each for a crash, and told the others. The class of fault: a loss that is common to all endpoints counts against one request.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -14,6 +14,7 @@
     endpoint_handle::EndpointHandle,
     gateway::Gateway,
     messages::{Message, SuspectReport},
+    reach,
     request_context::RequestContext,
 };
 
@@ -22,7 +23,8 @@
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
 
 /// Checks, shortly after a connection was lost, whether its endpoint crashed: a
-/// live endpoint accepts a new connection.
+/// live endpoint accepts a new connection. A gateway that has lost its links to all endpoints
+/// cannot tell, and concludes nothing.
 ///
 /// After a crash, the request and the parts of its prompt become suspects, and the
 /// crash is reported to other gateways. `received` is the time at which the head of
@@ -42,6 +44,10 @@
         }
         let now = gateway.now();
         handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
+        if reach::is_cut_off(&gateway, &handle).await {
+            log_cut(&context, &handle);
+            return;
+        }
         let responding_ms = received.map(|it| lost.since(it));
         log_crash(&context, &handle, responding_ms);
         record_request(&gateway, &context, &handle);
@@ -51,6 +57,15 @@
     });
 }
 
+/// Logs that a request was in flight at an endpoint when the links to all were lost.
+fn log_cut(context: &RequestContext, handle: &EndpointHandle) {
+    spdlog::info!(
+        "crash: id={} endpoint={} cut_off=true",
+        context.metadata.attempt_id,
+        handle.id()
+    );
+}
+
 /// Logs that a request was in flight at an endpoint that crashed; `responding_ms` is the
 /// time for which the endpoint had been responding to it.
 fn log_crash(context: &RequestContext, handle: &EndpointHandle, responding_ms: Option<u64>) {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -41,6 +41,18 @@
     }
 }
 
+/// Returns whether an endpoint that cannot be reached is one of many: no other one accepts a
+/// connection either, while another gateway reaches endpoints.
+pub(crate) async fn is_cut_off(gateway: &Gateway, unreachable: &EndpointHandle) -> bool {
+    if gateway.peers.borrow().serving(gateway.now()).next().is_none() {
+        return false;
+    }
+    let mut others = shuffled(gateway, |it| it.is_ready() && it.node() != unreachable.node());
+    others.truncate(SAMPLE_SIZE);
+    let results = join_all(others.iter().map(|it| it.pool.try_connect())).await;
+    !results.is_empty() && results.iter().all(|is_reached| !is_reached)
+}
+
 /// Returns the endpoints that fulfil a condition, in an order that differs each time.
 fn shuffled(
     gateway: &Gateway,
