Admit no more requests to brittle endpoints than they run

Counts in heartbeats are half a second old, requests last 15 to 30 ms: only a count in one place is exact. The gateway that issues permits for limited endpoints now also counts the requests in flight at brittle ones, as many as they have slots. A permit is returned when its request ends, or lapses at its deadline; after half of the refusals that an endpoint stands in a second, no more are issued until that second is over.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
+    permit::Permit,
     permits,
     pool::{Connection, SendError},
     quarantine, reach,
@@ -22,9 +23,9 @@
 };
 
 /// A response whose head has been received and whose body is still to be read.
-#[derive(Debug)]
 pub(crate) struct OpenResponse {
     pub(crate) in_flight: InFlight,
+    pub(crate) permit: Permit,
     /// When the head was received.
     pub(crate) received: Millis,
     pub(crate) connection: Connection,
@@ -41,16 +42,17 @@
 }
 
 impl Attempt {
-    /// Sends a request to `handle` once the response is polled; a stream starts after
+    /// Sends a request to an endpoint with its permit once the response is polled; a stream starts after
     /// `last_event`.
     pub(crate) fn start(
         gateway: &Rc<Gateway>,
         context: &Rc<RequestContext>,
-        handle: Rc<EndpointHandle>,
+        (handle, permit): (Rc<EndpointHandle>, Permit),
         last_event: Option<u64>,
     ) -> Attempt {
         let (gateway, context, receiver) = (gateway.clone(), context.clone(), handle.clone());
-        let response = async move { send_once(&gateway, &context, &receiver, last_event).await };
+        let response =
+            async move { send_once(&gateway, &context, &receiver, permit, last_event).await };
         Attempt { handle, response: Box::pin(response) }
     }
 
@@ -90,6 +92,7 @@
     gateway: &Rc<Gateway>,
     context: &Rc<RequestContext>,
     handle: &Rc<EndpointHandle>,
+    permit: Permit,
     last_event: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
     let in_flight = InFlight::new(handle.clone(), context.prefix, gateway.loads.clone());
@@ -117,7 +120,7 @@
         handle.record_load(load, now);
     }
     handle.record_notices(&metadata, now);
-    permits::record_limit(gateway, handle, metadata.rate_limit);
+    permits::record_limits(gateway, handle, &metadata);
     connection.set_idle_timeout(metadata.idle_timeout_ms);
     if metadata.attempt_id.as_ref().is_some_and(|it| *it != context.metadata.attempt_id) {
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
@@ -134,6 +137,7 @@
         return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "wrong endpoint"));
     }
     if metadata.not_run {
+        permit.mark_refused();
         // An endpoint at its rate limit is not expected to refuse other requests.
         if metadata.rate_limit.is_none() {
             handle.record_outcome(&gateway.settings.policy, Outcome::Refused, now);
@@ -144,7 +148,7 @@
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
         return Err(log_failure(gateway, context, handle, AttemptError::Unknown, "missing seal"));
     }
-    Ok(OpenResponse { in_flight, received: now, connection, head, metadata, body })
+    Ok(OpenResponse { in_flight, permit, received: now, connection, head, metadata, body })
 }
 
 fn build_request(
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -171,8 +171,9 @@
     progress: Progress,
 ) -> Result<Option<Attempt>, ErrorResponse> {
     match selection::next_endpoint(gateway, context, retry_state, progress).await {
-        Selection::Endpoint(handle) => {
-            Ok(Some(Attempt::start(gateway, context, handle, context.metadata.last_event)))
+        Selection::Endpoint(handle, permit) => {
+            let last_event = context.metadata.last_event;
+            Ok(Some(Attempt::start(gateway, context, (handle, permit), last_event)))
         }
         Selection::Overloaded if retry_state.sent == 0 => {
             let retry_ms = admission::retry_after_ms(
@@ -198,7 +199,8 @@
     open: OpenResponse,
 ) -> Result<Response<ReplyBody>, AttemptError> {
     let timeout_left = Duration::from_millis(context.remaining_ms(gateway.now()));
-    let OpenResponse { in_flight, received, connection, mut head, metadata, body } = open;
+    let OpenResponse { in_flight, permit: _permit, received, connection, mut head, metadata, body } =
+        open;
     let handle = in_flight.handle().clone();
     let collected = timeout(timeout_left, body_buffer::receive(body, &gateway.buffer_total)).await;
     let now = gateway.now();
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -28,7 +28,7 @@
     pub(crate) fn new(gateway: &Gateway, context: &RequestContext, may_ask: bool) -> Claims {
         let table = gateway.endpoint_table.borrow();
         let known = table.of_service(&context.service);
-        let is_limited = known.iter().any(|it| it.rate_limit().is_some());
+        let is_limited = known.iter().any(|it| it.is_rate_limited());
         let ranked = context.prefix.filter(|_| is_limited).map(|prefix| {
             let available = known.iter().filter(|it| it.is_available());
             let mut ranked = placement::rank(prefix, available.map(|it| it.node()));
@@ -48,15 +48,14 @@
     }
 
     /// Removes the endpoints with a rate limit that need not have the request's prefix cached,
-    /// unless there are no others, and all if no permit may be asked for.
+    /// unless there are no others, and all that need a permit if none may be asked for.
     pub(crate) fn filter(&self, mut open: Vec<Rc<EndpointHandle>>) -> Vec<Rc<EndpointHandle>> {
-        let is_unlimited = |it: &Rc<EndpointHandle>| it.rate_limit().is_none();
         if !self.may_ask {
-            open.retain(is_unlimited);
+            open.retain(|it| !it.limits().needs_permit());
         } else if let Some(ranked) = &self.ranked
-            && open.iter().any(is_unlimited)
+            && open.iter().any(|it| !it.is_rate_limited())
         {
-            open.retain(|it| is_unlimited(it) || ranked.contains(&it.node()));
+            open.retain(|it| !it.is_rate_limited() || ranked.contains(&it.node()));
         }
         open
     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -82,6 +82,8 @@
     /// Requests per second that the endpoint accepts from all gateways together, if it
     /// limits them.
     pub rate_limit: Option<f64>,
+    /// Requests that the endpoint can refuse in a second before it crashes, if it is brittle.
+    pub max_refusals: Option<u32>,
 }
 
 /// Translates between a platform's HTTP messages and metadata types.
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -9,6 +9,7 @@
 use mimosaledge_core::{Millis, Name, hash::hash64};
 use mimosaledge_policy::{
     Endpoint, EndpointState, PolicySettings,
+    concurrency::Capacity,
     health::{Health, Outcome, Tally},
     load::{self, MeanDuration, Report},
     permits::Claim,
@@ -18,9 +19,9 @@
 use crate::{
     clock::Clock,
     dialect::ResponseMetadata,
+    endpoint_limits::{EndpointLimits, LimitSample, ObservedLimits},
     loads::{LoadSample, Loads},
     pool::Pool,
-    rate_limit::{RateLimit, RateLimitSample},
 };
 
 /// Age up to which the load that an endpoint reported is sent to other
@@ -49,7 +50,8 @@
     is_leaving: Cell<bool>,
     /// Time before which the endpoint wants no requests.
     paused_until: Cell<Millis>,
-    rate_limit: Cell<RateLimit>,
+    /// What the endpoint accepts from all gateways together.
+    limits: Cell<ObservedLimits>,
     /// Time before which no permit for the endpoint can be expected.
     permits_from: Cell<Millis>,
     /// Time before which no permit can be expected to be left over.
@@ -79,7 +81,7 @@
             reported: Cell::new(None),
             is_leaving: Cell::new(false),
             paused_until: Cell::default(),
-            rate_limit: Cell::default(),
+            limits: Cell::default(),
             permits_from: Cell::default(),
             spare_from: Cell::default(),
             health: RefCell::default(),
@@ -153,34 +155,47 @@
         self.paused_until.get().since(self.clock.now())
     }
 
-    /// Applies the rate limit that the endpoint named at `at`; returns whether that changes
-    /// the limit.
-    pub(crate) fn observe_limit(&self, per_second: Option<f32>, at: Millis, now: Millis) -> bool {
-        let mut rate_limit = self.rate_limit.get();
-        let has_changed = rate_limit.observe(per_second, at, now);
-        self.rate_limit.set(rate_limit);
+    /// Applies the limits that the endpoint named at `at`; returns whether that changes them.
+    pub(crate) fn observe_limits(&self, limits: EndpointLimits, at: Millis, now: Millis) -> bool {
+        let mut observed = self.limits.get();
+        let has_changed = observed.observe(limits, at, now);
+        self.limits.set(observed);
         if has_changed {
             self.permits_from.set(now);
             self.spare_from.set(now);
-            spdlog::info!("health: endpoint={} rate_limit={per_second:?}", self.id());
+            let EndpointLimits { rate, max_refusals } = limits;
+            spdlog::info!(
+                "health: endpoint={} rate_limit={rate:?} max_refusals={max_refusals:?}",
+                self.id()
+            );
         }
         has_changed
     }
 
-    /// Returns the requests per second that the endpoint accepts from all gateways together,
-    /// if it limits them.
-    pub(crate) fn rate_limit(&self) -> Option<f32> {
-        self.rate_limit.get().per_second
+    /// Returns what the endpoint accepts from all gateways together.
+    pub(crate) fn limits(&self) -> EndpointLimits {
+        self.limits.get().limits
     }
 
-    /// Returns the rate limit for other gateways.
-    pub(crate) fn to_limit_sample(&self, now: Millis) -> RateLimitSample {
-        self.rate_limit.get().to_sample(self.node, now)
+    /// Returns whether the endpoint limits the requests per second.
+    pub(crate) fn is_rate_limited(&self) -> bool {
+        self.limits().rate.is_some()
     }
 
-    /// Returns the rate limit for other gateways, if it has changed lately.
-    pub(crate) fn changed_limit(&self, now: Millis) -> Option<RateLimitSample> {
-        self.rate_limit.get().is_news(now).then(|| self.to_limit_sample(now))
+    /// Returns what the endpoint bears, if it is brittle.
+    pub(crate) fn capacity(&self) -> Option<Capacity> {
+        let max_refusals = self.limits().max_refusals?;
+        Some(Capacity { slots: self.endpoint.borrow().slots, max_refusals })
+    }
+
+    /// Returns the limits for other gateways.
+    pub(crate) fn to_limit_sample(&self, now: Millis) -> LimitSample {
+        self.limits.get().to_sample(self.node, now)
+    }
+
+    /// Returns the limits for other gateways, if they have changed lately.
+    pub(crate) fn changed_limits(&self, now: Millis) -> Option<LimitSample> {
+        self.limits.get().is_news(now).then(|| self.to_limit_sample(now))
     }
 
     /// Records that no permit for `claim` can be expected before `time`.
@@ -197,8 +212,10 @@
 
     /// Returns the time until the endpoint may accept a request with `claim`, in milliseconds.
     pub(crate) fn wait_ms(&self, claim: Claim) -> u64 {
-        let permit_wait = |_| self.permits_from(claim).get().since(self.clock.now());
-        self.pause_ms().max(self.rate_limit().map_or(0, permit_wait))
+        if !self.limits().needs_permit() {
+            return self.pause_ms();
+        }
+        self.pause_ms().max(self.permits_from(claim).get().since(self.clock.now()))
     }
 
     /// Returns whether the endpoint may be sent new requests with `claim`.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -31,7 +31,7 @@
 const MAX_SAMPLES: usize = 8;
 /// Maximum number of endpoints with outcomes in a heartbeat of a large fleet.
 const MAX_OUTCOMES: usize = 8;
-/// Maximum number of rate limits in a heartbeat.
+/// Maximum number of endpoints with limits in a heartbeat.
 const MAX_LIMITS: usize = 16;
 /// Size of the receive buffer, which bounds the payload of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
@@ -107,11 +107,7 @@
         },
         samples,
         outcomes,
-        rate_limits: table
-            .handles()
-            .filter_map(|it| it.changed_limit(now))
-            .take(MAX_LIMITS)
-            .collect(),
+        limits: table.handles().filter_map(|it| it.changed_limits(now)).take(MAX_LIMITS).collect(),
         crashes: peers.crash_reports(),
         suspects: peers.suspect_reports(now),
         sound_parts: peers.sound_parts(),
@@ -147,7 +143,7 @@
                 quarantine::apply_reports(&gateway, &suspects, &[], gateway.now());
                 continue;
             }
-            Ok(Message::RateLimits(samples)) => {
+            Ok(Message::Limits(samples)) => {
                 permits::apply_samples(&gateway, &samples, gateway.now());
                 continue;
             }
@@ -155,6 +151,10 @@
                 permits::handle_request(&gateway, *from.ip(), &request);
                 continue;
             }
+            Ok(Message::PermitRelease { number, endpoint, refused }) => {
+                permits::handle_release(&gateway, *from.ip(), number, endpoint, refused);
+                continue;
+            }
             Ok(Message::PermitResponse { number, retry_ms }) => {
                 permits::handle_response(&gateway, number, retry_ms);
                 continue;
@@ -189,7 +189,7 @@
         }
     }
     drop(table);
-    permits::apply_samples(gateway, &heartbeat.rate_limits, now);
+    permits::apply_samples(gateway, &heartbeat.limits, now);
     let summary = heartbeat.summary;
     if gateway.peers.borrow_mut().record_heartbeat(from, heartbeat, now) {
         permits::send_limits(gateway, from);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,8 @@
 //! | `retry_state` | what has been tried for one request |
 //! | `selection` | selects the endpoint for each attempt, or none under overload |
 //! | `silence` | gives up a silent endpoint only for another one |
-//! | `permits`, `permit_table`, `rate_limit`, `claims` | keep the rate limits of endpoints with the other gateways |
+//! | `permits`, `permit`, `permit_table`, `claims` | keep the limits of endpoints with the other gateways |
+//! | `endpoint_limits` | the limits that an endpoint has named |
 //! | `quarantine` | finds out what crashes endpoints, and refuses it |
 //! | `relay` | forwards a stream and resumes it at another endpoint |
 //! | `reach` | finds out that no endpoint is reachable |
@@ -42,6 +43,7 @@
 mod directory;
 mod drain;
 mod endpoint_handle;
+mod endpoint_limits;
 mod endpoint_list;
 mod endpoint_table;
 mod error;
@@ -61,11 +63,11 @@
 mod metrics;
 mod origins;
 mod peers;
+mod permit;
 mod permit_table;
 mod permits;
 mod pool;
 mod quarantine;
-mod rate_limit;
 mod reach;
 mod relay;
 mod request;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    endpoint_limits::LimitSample,
     loads::{LoadSample, Outcomes, RequestCount},
-    rate_limit::RateLimitSample,
 };
 
 /// Maximum number of endpoint list changes in one datagram; for more, peers
@@ -94,12 +94,15 @@
     OriginQuery(u64),
     /// Sent by a gateway that has seen an endpoint crash, before the next heartbeat.
     Suspects(Vec<SuspectReport>),
-    /// Sent by a gateway that an endpoint has told of a new rate limit, or of its end.
-    RateLimits(Vec<RateLimitSample>),
+    /// Sent by a gateway that an endpoint has told of new limits, or of their end.
+    Limits(Vec<LimitSample>),
     /// Asks the gateway that issues an endpoint's permits for one.
     PermitRequest(PermitRequest),
     /// Responds to the request `number`: the permit is issued, or can be after `retry_ms`.
     PermitResponse { number: u32, retry_ms: Option<u64> },
+    /// Returns the permit `number` after the request has ended; `refused` says whether the
+    /// endpoint refused it.
+    PermitRelease { number: u32, endpoint: u64, refused: bool },
 }
 
 /// A request for the permit to send one request to an endpoint.
@@ -109,8 +112,10 @@
     /// Node number of the endpoint.
     pub(crate) endpoint: u64,
     pub(crate) claim: Claim,
-    /// The endpoint's limit, as the asking gateway knows it.
-    pub(crate) limit: RateLimitSample,
+    /// Time within which the request ends, in milliseconds.
+    pub(crate) ttl_ms: u64,
+    /// The endpoint's limits, as the asking gateway knows them.
+    pub(crate) limits: LimitSample,
 }
 
 /// The periodic report of one gateway.
@@ -129,8 +134,8 @@
     pub(crate) samples: Vec<LoadSample>,
     /// Recent outcomes of its requests, for endpoints with failures.
     pub(crate) outcomes: Vec<Outcomes>,
-    /// Rate limits of endpoints that have changed lately.
-    pub(crate) rate_limits: Vec<RateLimitSample>,
+    /// Limits of endpoints that have changed lately.
+    pub(crate) limits: Vec<LimitSample>,
     /// Requests that were in flight at an endpoint when it crashed.
     pub(crate) crashes: Vec<CrashReport>,
     /// Prompt parts to which an endpoint had just begun to respond when it crashed.
--- /dev/null
+++ b/crates/gateway/src/permit.rs
@@ -0,0 +1,58 @@
+//! The permit for one request.
+
+use std::{cell::Cell, net::Ipv4Addr, rc::Rc};
+
+use crate::{datagrams, gateway::Gateway, messages::Message};
+
+/// A permit that is returned to its issuer when it is dropped.
+pub(crate) struct Permit {
+    /// Who issued it, if it has to be returned.
+    issued: Option<Issued>,
+    was_refused: Cell<bool>,
+}
+
+struct Issued {
+    gateway: Rc<Gateway>,
+    issuer: Ipv4Addr,
+    number: u32,
+    endpoint: u64,
+}
+
+impl Permit {
+    /// Creates a permit that need not be returned.
+    pub(crate) fn free() -> Permit {
+        Permit { issued: None, was_refused: Cell::new(false) }
+    }
+
+    /// Creates the permit `number` that `issuer` has issued for `endpoint`.
+    pub(crate) fn issued(
+        gateway: &Rc<Gateway>,
+        issuer: Ipv4Addr,
+        number: u32,
+        endpoint: u64,
+    ) -> Permit {
+        let issued = Issued { gateway: gateway.clone(), issuer, number, endpoint };
+        Permit { issued: Some(issued), was_refused: Cell::new(false) }
+    }
+
+    /// Records that the endpoint has refused the request.
+    pub(crate) fn mark_refused(&self) {
+        self.was_refused.set(true);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let Some(Issued { gateway, issuer, number, endpoint }) = self.issued.take() else { return };
+        let refused = self.was_refused.get();
+        let own_address = gateway.settings.address;
+        if issuer == own_address {
+            let holder = (own_address, number);
+            let mut table = gateway.permit_table.borrow_mut();
+            table.concurrency.release(endpoint, holder, refused, gateway.now());
+        } else {
+            let message = Message::PermitRelease { number, endpoint, refused };
+            datagrams::send_now(&gateway, &message, &[issuer]);
+        }
+    }
+}
--- a/crates/gateway/src/permit_table.rs
+++ b/crates/gateway/src/permit_table.rs
@@ -1,9 +1,10 @@
-//! State of the permits for endpoints that limit their rate.
+//! State of the permits for endpoints that limit what they accept.
 
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use mimosaledge_core::{Millis, Name};
 use mimosaledge_policy::{
+    concurrency::Concurrency,
     issuers::Issuers,
     permits::{Decision, MeanSize, Permits, RequestSize},
 };
@@ -14,6 +15,7 @@
 pub(crate) struct PermitTable {
     pub(crate) issuers: Issuers,
     pub(crate) permits: Permits,
+    pub(crate) concurrency: Concurrency,
     /// Requests for permits that other gateways have not answered yet, by number.
     pending: HashMap<u32, oneshot::Sender<Decision>>,
     next_number: u32,
@@ -27,6 +29,7 @@
         PermitTable {
             issuers: Issuers::new(own_address, now),
             permits: Permits::default(),
+            concurrency: Concurrency::default(),
             pending: HashMap::new(),
             next_number: 0,
             mean_sizes: HashMap::new(),
@@ -42,13 +45,19 @@
 
     /// Registers a request to another gateway; returns its number and the response to come.
     pub(crate) fn add_pending(&mut self) -> (u32, oneshot::Receiver<Decision>) {
-        let number = self.next_number;
-        self.next_number = number.wrapping_add(1);
+        let number = self.next_number();
         let (sender, receiver) = oneshot::channel();
         self.pending.insert(number, sender);
         (number, receiver)
     }
 
+    /// Returns a number for a permit that this gateway asks for.
+    pub(crate) fn next_number(&mut self) -> u32 {
+        let number = self.next_number;
+        self.next_number = number.wrapping_add(1);
+        number
+    }
+
     /// Removes a request that is answered or no longer waited for.
     pub(crate) fn take_pending(&mut self, number: u32) -> Option<oneshot::Sender<Decision>> {
         self.pending.remove(&number)
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,21 +1,26 @@
-//! Keeps the rate limits that endpoints name, together with the other gateways.
+//! Keeps the limits that endpoints name, together with the other gateways.
 //!
-//! Before a gateway sends a request to an endpoint that limits its rate, it obtains a permit
-//! from the gateway that issues them. Without a permit, or without a response, the request
+//! Before a gateway sends a request to an endpoint that limits its rate or is brittle, it obtains
+//! a permit from the gateway that issues them. Without a permit, or without a response, the request
 //! goes to another endpoint.
 
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use mimosaledge_core::Millis;
-use mimosaledge_policy::permits::{Claim, Decision};
+use mimosaledge_policy::{
+    concurrency::Holder,
+    permits::{Claim, Decision},
+};
 use tokio::time::timeout;
 
 use crate::{
     datagrams,
+    dialect::ResponseMetadata,
     endpoint_handle::EndpointHandle,
+    endpoint_limits::{EndpointLimits, LimitSample},
     gateway::Gateway,
     messages::{Message, PermitRequest},
-    rate_limit::RateLimitSample,
+    permit::Permit,
     request_context::RequestContext,
 };
 
@@ -27,64 +32,76 @@
 /// the gateways that disagree need it to hear of each other.
 const WRONG_ISSUER_RETRY_MS: u64 = 250;
 
-/// Obtains the permit for one request to `handle`; returns whether the request may be sent.
+/// Obtains the permit for one request to `handle`, if the endpoint accepts it.
 ///
 /// An endpoint that no permit could be obtained for is not open until the next one can be
 /// expected.
 pub(crate) async fn acquire(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     context: &RequestContext,
     handle: &EndpointHandle,
     claim: Claim,
-) -> bool {
-    let Some(rate) = handle.rate_limit() else { return true };
+) -> Option<Permit> {
+    let limits = handle.limits();
+    if !limits.needs_permit() {
+        return Some(Permit::free());
+    }
+    let ttl_ms = context.remaining_ms(gateway.now());
     let issuer = gateway.permit_table.borrow_mut().issuers.issuer(handle.node());
-    let decision = if issuer == gateway.settings.address {
-        decide(gateway, handle, claim, gateway.now())
+    let own_address = gateway.settings.address;
+    let (number, decision) = if issuer == own_address {
+        let number = gateway.permit_table.borrow_mut().next_number();
+        let holder = (own_address, number);
+        (number, decide(gateway, handle, claim, holder, ttl_ms))
     } else {
-        ask(gateway, issuer, handle, claim).await
+        ask(gateway, issuer, handle, claim, ttl_ms).await
     };
     let Decision::Denied(retry_ms) = decision else {
         gateway.metrics.permits.with_label_values(&["issued"]).inc();
-        return true;
+        let is_returned = limits.max_refusals.is_some();
+        let issued = || Permit::issued(gateway, issuer, number, handle.node());
+        return Some(if is_returned { issued() } else { Permit::free() });
     };
     gateway.metrics.permits.with_label_values(&["denied"]).inc();
     spdlog::info!(
-        "permit: id={} endpoint={} denied=true claim={claim:?} rate_limit={rate} issuer={issuer} \
-         retry_ms={retry_ms}",
+        "permit: id={} endpoint={} denied=true claim={claim:?} rate_limit={:?} max_refusals={:?} \
+         issuer={issuer} retry_ms={retry_ms}",
         context.metadata.attempt_id,
-        handle.id()
+        handle.id(),
+        limits.rate,
+        limits.max_refusals
     );
     handle.deny_permits_until(claim, gateway.now() + retry_ms);
-    false
+    None
 }
 
-/// Asks another gateway for a permit.
+/// Asks another gateway for a permit; returns its number and the decision.
 async fn ask(
     gateway: &Gateway,
     issuer: Ipv4Addr,
     handle: &EndpointHandle,
     claim: Claim,
-) -> Decision {
-    let limit = handle.to_limit_sample(gateway.now());
+    ttl_ms: u64,
+) -> (u32, Decision) {
+    let limits = handle.to_limit_sample(gateway.now());
     let (number, response) = gateway.permit_table.borrow_mut().add_pending();
-    let request = PermitRequest { number, endpoint: handle.node(), claim, limit };
+    let request = PermitRequest { number, endpoint: handle.node(), claim, ttl_ms, limits };
     datagrams::send_now(gateway, &Message::PermitRequest(request), &[issuer]);
     let decision = timeout(RESPONSE_TIMEOUT, response).await;
     gateway.permit_table.borrow_mut().take_pending(number);
     match decision {
-        Ok(Ok(decision)) => decision,
-        Ok(Err(_)) | Err(_) => Decision::Denied(UNANSWERED_RETRY_MS),
+        Ok(Ok(decision)) => (number, decision),
+        Ok(Err(_)) | Err(_) => (number, Decision::Denied(UNANSWERED_RETRY_MS)),
     }
 }
 
 /// Decides on a request for a permit that another gateway has sent.
 pub(crate) fn handle_request(gateway: &Gateway, from: Ipv4Addr, request: &PermitRequest) {
-    let now = gateway.now();
-    apply_samples(gateway, &[request.limit], now);
+    apply_samples(gateway, &[request.limits], gateway.now());
     let handle = gateway.endpoint_table.borrow().find(request.endpoint);
+    let holder = (from, request.number);
     let decision = match handle {
-        Some(handle) => decide(gateway, &handle, request.claim, now),
+        Some(handle) => decide(gateway, &handle, request.claim, holder, request.ttl_ms),
         None => Decision::Denied(WRONG_ISSUER_RETRY_MS),
     };
     let retry_ms = match decision {
@@ -95,6 +112,18 @@
     datagrams::send_now(gateway, &response, &[from]);
 }
 
+/// Takes a permit back that another gateway returns.
+pub(crate) fn handle_release(
+    gateway: &Gateway,
+    from: Ipv4Addr,
+    number: u32,
+    endpoint: u64,
+    refused: bool,
+) {
+    let mut table = gateway.permit_table.borrow_mut();
+    table.concurrency.release(endpoint, (from, number), refused, gateway.now());
+}
+
 /// Passes the response of an issuer on to the request that waits for it.
 pub(crate) fn handle_response(gateway: &Gateway, number: u32, retry_ms: Option<u64>) {
     let Some(waiting) = gateway.permit_table.borrow_mut().take_pending(number) else { return };
@@ -103,46 +132,72 @@
     let _ = waiting.send(decision);
 }
 
-/// Issues a permit if this gateway is the one to issue it and the limit allows it.
-fn decide(gateway: &Gateway, handle: &EndpointHandle, claim: Claim, now: Millis) -> Decision {
-    let Some(rate) = handle.rate_limit() else { return Decision::Issued };
+/// Issues a permit if this gateway is the one to issue it and the limits allow it.
+fn decide(
+    gateway: &Gateway,
+    handle: &EndpointHandle,
+    claim: Claim,
+    holder: Holder,
+    ttl_ms: u64,
+) -> Decision {
+    if !handle.limits().needs_permit() {
+        return Decision::Issued;
+    }
+    let (node, now) = (handle.node(), gateway.now());
     let mut table = gateway.permit_table.borrow_mut();
-    match table.issuers.own_start(handle.node()) {
-        Some(from) => table.permits.request(handle.node(), rate.into(), claim, from, now),
-        None => Decision::Denied(WRONG_ISSUER_RETRY_MS),
+    let Some(from) = table.issuers.own_start(node) else {
+        return Decision::Denied(WRONG_ISSUER_RETRY_MS);
+    };
+    if let Some(capacity) = handle.capacity() {
+        let decision = table.concurrency.request(node, capacity, holder, ttl_ms, from, now);
+        if decision != Decision::Issued {
+            return decision;
+        }
+    }
+    let Some(rate) = handle.limits().rate else { return Decision::Issued };
+    let decision = table.permits.request(node, rate.into(), claim, from, now);
+    if decision != Decision::Issued {
+        table.concurrency.release(node, holder, false, now);
     }
+    decision
 }
 
-/// Applies the rate limits that another gateway has observed.
-pub(crate) fn apply_samples(gateway: &Gateway, samples: &[RateLimitSample], now: Millis) {
+/// Applies the limits that another gateway has observed.
+pub(crate) fn apply_samples(gateway: &Gateway, samples: &[LimitSample], now: Millis) {
     let table = gateway.endpoint_table.borrow();
     for sample in samples {
         if let Some(handle) = table.find_short(sample.endpoint) {
-            handle.observe_limit(sample.per_second, now - u64::from(sample.age_ms), now);
+            handle.observe_limits(sample.limits, now - u64::from(sample.age_ms), now);
         }
     }
 }
 
-/// Records the rate limit that an endpoint named in a response to this gateway; tells the
-/// other gateways at once if it has changed.
-pub(crate) fn record_limit(gateway: &Gateway, handle: &EndpointHandle, per_second: Option<f64>) {
+/// Records the limits that an endpoint named in a response to this gateway; tells the other
+/// gateways at once if they have changed.
+pub(crate) fn record_limits(
+    gateway: &Gateway,
+    handle: &EndpointHandle,
+    metadata: &ResponseMetadata,
+) {
     let now = gateway.now();
-    if !handle.observe_limit(per_second.map(|it| it as f32), now, now) {
+    let rate = metadata.rate_limit.map(|it| it as f32);
+    let limits = EndpointLimits { rate, max_refusals: metadata.max_refusals };
+    if !handle.observe_limits(limits, now, now) {
         return;
     }
     let recipients = gateway.peers.borrow().urgent_recipients(now);
     let samples = vec![handle.to_limit_sample(now)];
-    datagrams::send_now(gateway, &Message::RateLimits(samples), &recipients);
+    datagrams::send_now(gateway, &Message::Limits(samples), &recipients);
 }
 
 /// Sends the limits of all endpoints to a gateway that has become ready.
 pub(crate) fn send_limits(gateway: &Gateway, to: Ipv4Addr) {
     let now = gateway.now();
     let table = gateway.endpoint_table.borrow();
-    let limited = table.handles().filter(|it| it.rate_limit().is_some());
-    let samples: Vec<RateLimitSample> = limited.map(|it| it.to_limit_sample(now)).collect();
+    let limited = table.handles().filter(|it| it.limits().needs_permit());
+    let samples: Vec<LimitSample> = limited.map(|it| it.to_limit_sample(now)).collect();
     if !samples.is_empty() {
-        datagrams::send_now(gateway, &Message::RateLimits(samples), &[to]);
+        datagrams::send_now(gateway, &Message::Limits(samples), &[to]);
     }
 }
 
@@ -160,7 +215,8 @@
     let mut table = gateway.permit_table.borrow_mut();
     table.issuers.update(gateways, has_resigned, now);
     table.permits.remove_unused(now);
+    table.concurrency.remove_unused(now);
     table.remove_abandoned();
     let endpoints = gateway.endpoint_table.borrow();
-    table.issuers.retain(|node| endpoints.find(node).is_some_and(|it| it.rate_limit().is_some()));
+    table.issuers.retain(|node| endpoints.find(node).is_some_and(|it| it.limits().needs_permit()));
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,7 @@
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
     origins,
+    permit::Permit,
     pool::{self, Connection},
     quarantine,
     request_context::RequestContext,
@@ -40,6 +41,8 @@
 /// The response of the endpoint that currently sends the stream.
 struct Upstream {
     in_flight: InFlight,
+    /// Held until the stream ends.
+    _permit: Permit,
     /// When the head of its response was received.
     received: Millis,
     connection: Option<Connection>,
@@ -52,6 +55,7 @@
     fn from_open(open: OpenResponse) -> Upstream {
         Upstream {
             in_flight: open.in_flight,
+            _permit: open.permit,
             received: open.received,
             connection: Some(open.connection),
             body: open.body,
@@ -326,8 +330,8 @@
         let next =
             selection::next_endpoint(gateway, context, &mut self.retry_state, Progress::Started)
                 .await;
-        let Selection::Endpoint(handle) = next else { return None };
-        Some(Attempt::start(gateway, context, handle, self.splitter.last_id()))
+        let Selection::Endpoint(handle, permit) = next else { return None };
+        Some(Attempt::start(gateway, context, (handle, permit), self.splitter.last_id()))
     }
 
     /// Logs the end of a stream that could not be resumed.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::{
-    claims::Claims, endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway, permits,
-    quarantine, request_context::RequestContext, retry_state::RetryState,
+    claims::Claims, endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway,
+    permit::Permit, permits, quarantine, request_context::RequestContext, retry_state::RetryState,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
@@ -36,10 +36,9 @@
 const LATENCY_GOAL_FACTOR: u64 = 4;
 
 /// Result of selecting the next endpoint.
-#[derive(Debug)]
 pub(crate) enum Selection {
-    /// Send the request to this endpoint.
-    Endpoint(Rc<EndpointHandle>),
+    /// Send the request to this endpoint, with this permit.
+    Endpoint(Rc<EndpointHandle>, Permit),
     /// Every remaining engine is at its load limit.
     Overloaded,
     /// No endpoint may be sent the request.
@@ -76,9 +75,9 @@
 /// Selects the next endpoint for a request and records it in `retry_state`.
 ///
 /// Every endpoint after the first takes one retry from the service's budget, and one that
-/// limits its rate a permit.
+/// limits what it accepts a permit.
 pub(crate) async fn next_endpoint(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     context: &RequestContext,
     retry_state: &mut RetryState,
     progress: Progress,
@@ -99,7 +98,7 @@
 }
 
 async fn try_next_endpoint(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     context: &RequestContext,
     retry_state: &mut RetryState,
     progress: Progress,
@@ -111,20 +110,20 @@
         return Selection::Unavailable(Unavailable::Quarantined);
     }
     let mut denied_permits = 0;
-    let handle = loop {
+    let (handle, permit) = loop {
         if context.remaining_ms(gateway.now()) < MIN_REMAINING_MS {
             return Selection::Unavailable(Unavailable::Deadline);
         }
         let claims = Claims::new(gateway, context, denied_permits < MAX_DENIED_PERMITS);
         match select_endpoint(gateway, context, retry_state, progress, &claims) {
-            Selection::Endpoint(handle) => {
+            Ok(handle) => {
                 let claim = claims.of(&handle);
-                if permits::acquire(gateway, context, &handle, claim).await {
-                    break handle;
+                if let Some(permit) = permits::acquire(gateway, context, &handle, claim).await {
+                    break (handle, permit);
                 }
                 denied_permits += 1;
             }
-            other => return other,
+            Err(selection) => return selection,
         }
     };
     if retry_state.sent > 0 {
@@ -139,7 +138,7 @@
     }
     retry_state.sent += 1;
     retry_state.tried_nodes.push(handle.node());
-    Selection::Endpoint(handle)
+    Selection::Endpoint(handle, permit)
 }
 
 /// Returns the time until the first endpoint of the request's service accepts requests again,
@@ -153,13 +152,17 @@
 
 /// Selects an endpoint by load, locality, failure rate and cached prefix; of those that limit
 /// their rate, one that `claims` allows.
+///
+/// # Errors
+///
+/// Returns what to do instead if there is none.
 fn select_endpoint(
     gateway: &Gateway,
     context: &RequestContext,
     retry_state: &RetryState,
     progress: Progress,
     claims: &Claims,
-) -> Selection {
+) -> Result<Rc<EndpointHandle>, Selection> {
     let now = gateway.now();
     let policy = &gateway.settings.policy;
     gateway.peers.borrow_mut().update_loads(&mut gateway.loads.borrow_mut(), now);
@@ -172,7 +175,7 @@
     let mut available: Vec<(Rc<EndpointHandle>, Candidate)> =
         untried.into_iter().zip(candidates).collect();
     if available.is_empty() {
-        return Selection::Unavailable(Unavailable::NoEndpoint);
+        return Err(Selection::Unavailable(Unavailable::NoEndpoint));
     }
     if let Some(slots) = batch_slots(gateway, context) {
         let limit = admission::load_limit(policy, slots, context.authorized.priority, progress);
@@ -189,7 +192,7 @@
                 gateway.config_version(),
                 gateway.list_age_ms()
             );
-            return Selection::Overloaded;
+            return Err(Selection::Overloaded);
         }
         available.retain(|(_, it)| it.load < limit);
     }
@@ -198,7 +201,7 @@
     let running = |key| f64::from(loads.count_with_prefix(key) + 1);
     let prefix = context.prefix.map(|key| Prefix { key, running: running(key) });
     let Some(index) = placement::choose(policy, prefix, &candidates, hash) else {
-        return Selection::Unavailable(Unavailable::NoEndpoint);
+        return Err(Selection::Unavailable(Unavailable::NoEndpoint));
     };
     let (handle, candidate) = &available[index];
     spdlog::info!(
@@ -218,7 +221,7 @@
         gateway.config_version(),
         gateway.list_age_ms()
     );
-    Selection::Endpoint(handle.clone())
+    Ok(handle.clone())
 }
 
 /// Returns the number of requests that an engine of the request's service runs
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -158,7 +158,7 @@
         let next =
             selection::next_endpoint(self.gateway, self.context, self.retry_state, self.progress)
                 .await;
-        let Selection::Endpoint(handle) = next else { return None };
-        Some(Attempt::start(self.gateway, self.context, handle, self.last_event))
+        let Selection::Endpoint(handle, permit) = next else { return None };
+        Some(Attempt::start(self.gateway, self.context, (handle, permit), self.last_event))
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`admission`] | admission control for engines under overload |
 //! | [`retry_budget`] | retry budgets per service |
 //! | [`permits`] | rate limits of endpoints, which all gateways share |
+//! | [`concurrency`] | requests in flight at endpoints that must not have to refuse many |
 //! | [`issuers`] | choice of the gateway that keeps each of these limits |
 //! | [`health`] | the health of an endpoint |
 //! | [`crashing_parts`] | detection of prompt parts that crash engines |
@@ -21,6 +22,7 @@
 
 pub mod admission;
 pub mod builds;
+pub mod concurrency;
 pub mod config;
 pub mod crashing_parts;
 mod departures;
