Return permits that no request waits for any more

A permit for a brittle endpoint whose response came later than 50 ms, or whose request had been cancelled meanwhile, held its slot until the request's deadline, up to 15 s. Found by reading; such a permit now goes back to its issuer at once.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -155,8 +155,8 @@
                 permits::handle_release(&gateway, *from.ip(), number, endpoint, refused);
                 continue;
             }
-            Ok(Message::PermitResponse { number, retry_ms }) => {
-                permits::handle_response(&gateway, number, retry_ms);
+            Ok(Message::PermitResponse { number, endpoint, retry_ms }) => {
+                permits::handle_response(&gateway, *from.ip(), number, endpoint, retry_ms);
                 continue;
             }
             Ok(Message::Heartbeat(heartbeat)) => {
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -99,7 +99,7 @@
     /// Asks the gateway that issues an endpoint's permits for one.
     PermitRequest(PermitRequest),
     /// Responds to the request `number`: the permit is issued, or can be after `retry_ms`.
-    PermitResponse { number: u32, retry_ms: Option<u64> },
+    PermitResponse { number: u32, endpoint: u64, retry_ms: Option<u64> },
     /// Returns the permit `number` after the request has ended; `refused` says whether the
     /// endpoint refused it.
     PermitRelease { number: u32, endpoint: u64, refused: bool },
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -108,7 +108,8 @@
         Decision::Issued => None,
         Decision::Denied(retry_ms) => Some(retry_ms),
     };
-    let response = Message::PermitResponse { number: request.number, retry_ms };
+    let PermitRequest { number, endpoint, .. } = *request;
+    let response = Message::PermitResponse { number, endpoint, retry_ms };
     datagrams::send_now(gateway, &response, &[from]);
 }
 
@@ -124,12 +125,22 @@
     table.concurrency.release(endpoint, (from, number), refused, gateway.now());
 }
 
-/// Passes the response of an issuer on to the request that waits for it.
-pub(crate) fn handle_response(gateway: &Gateway, number: u32, retry_ms: Option<u64>) {
-    let Some(waiting) = gateway.permit_table.borrow_mut().take_pending(number) else { return };
+/// Passes the response of an issuer on to the request that waits for it; a permit that no
+/// request waits for any more is returned.
+pub(crate) fn handle_response(
+    gateway: &Gateway,
+    from: Ipv4Addr,
+    number: u32,
+    endpoint: u64,
+    retry_ms: Option<u64>,
+) {
     let decision = retry_ms.map_or(Decision::Issued, Decision::Denied);
-    // The request may have been cancelled meanwhile; its permit then lapses.
-    let _ = waiting.send(decision);
+    let waiting = gateway.permit_table.borrow_mut().take_pending(number);
+    let is_taken = waiting.is_some_and(|it| it.send(decision).is_ok());
+    if !is_taken && decision == Decision::Issued {
+        let release = Message::PermitRelease { number, endpoint, refused: false };
+        datagrams::send_now(gateway, &release, &[from]);
+    }
 }
 
 /// Issues a permit if this gateway is the one to issue it and the limits allow it.
