Do not call a request not run that may have run before it was handed over

A repeatable request whose attempt here may have run was answered with the 503 of the gateway that it was then handed over to, which says that the request has not run. Found by reading. Such a response is now replaced by 502 or 504, as without handing over. The tests of cuts, brittle endpoints, limits and requests pass.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use mimosaledge_core::hash::hash64;
 use mimosaledge_net::server::{ReplyBody, full_body};
 use mimosaledge_policy::{
@@ -126,13 +126,23 @@
     let may_run = retry_state.ran == 0
         || (context.route().retry != RetryPolicy::Never
             && retry_state.ran < context.route().max_attempts);
-    if may_run && forward::is_due(gateway, &context) {
-        return forward::run(gateway, &context).await.map_err(|it| match it {
-            ForwardError::NotRun => final_error(gateway, &context, &retry_state, last_error),
-            ForwardError::Unknown | ForwardError::Timeout => forward_error(&context, it),
-        });
+    if !may_run || !forward::is_due(gateway, &context) {
+        return Err(final_error(gateway, &context, &retry_state, last_error));
     }
-    Err(final_error(gateway, &context, &retry_state, last_error))
+    match forward::run(gateway, &context).await {
+        // It has not run at the other gateway, but may have run before.
+        Ok(response) if retry_state.ran > 0 && promises_not_run(response.status()) => {
+            Err(final_error(gateway, &context, &retry_state, last_error))
+        }
+        Ok(response) => Ok(response),
+        Err(ForwardError::NotRun) => Err(final_error(gateway, &context, &retry_state, last_error)),
+        Err(error) => Err(forward_error(&context, error)),
+    }
+}
+
+/// Returns whether a status says that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
 /// Returns the error response for a request that was handed over to another gateway, which
