Log what the retry budget decides, and whether a process is a first start

The hypotheses on the retries past the budget could not be told apart: no line said how many gateways the allowance was divided by, what was used of it, which process was a first start, and how often a request had been sent before it was handed over. No decision changes.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -51,10 +51,11 @@
     if let Some(retry_ms) = quarantine::find_refusal(gateway, &context) {
         return Err(ErrorResponse::with_retry_after(Code::Crasher, retry_ms));
     }
+    let mut retry_state = RetryState { build: context.build, ..RetryState::default() };
     if forward::is_due(gateway, &context) {
-        return forward::run(gateway, &context).await.map_err(|it| forward_error(&context, it));
+        let forwarded = forward::run(gateway, &context, &retry_state).await;
+        return forwarded.map_err(|it| forward_error(&context, it));
     }
-    let mut retry_state = RetryState { build: context.build, ..RetryState::default() };
     let progress = if context.build.is_some() { Progress::Started } else { Progress::New };
     let mut server_error = None;
     let mut last_error = AttemptError::NotRun;
@@ -129,7 +130,7 @@
     if !may_run || !forward::is_due(gateway, &context) {
         return Err(final_error(gateway, &context, &retry_state, last_error));
     }
-    match forward::run(gateway, &context).await {
+    match forward::run(gateway, &context, &retry_state).await {
         // It has not run at the other gateway, but may have run before.
         Ok(response) if retry_state.ran > 0 && promises_not_run(response.status()) => {
             Err(final_error(gateway, &context, &retry_state, last_error))
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -25,6 +25,7 @@
     headers::strip_hop_by_hop_headers,
     pool::{Connection, Pool, SendError},
     request_context::RequestContext,
+    retry_state::RetryState,
 };
 
 /// Time left until the deadline of a request that another gateway has handed over, in
@@ -82,6 +83,7 @@
 pub(crate) async fn run(
     gateway: &Rc<Gateway>,
     context: &Rc<RequestContext>,
+    retry_state: &RetryState,
 ) -> Result<Response<ReplyBody>, ForwardError> {
     let mut peers: Vec<Ipv4Addr> = gateway.peers.borrow().serving(gateway.now()).collect();
     let hash = hash64(context.metadata.attempt_id.as_bytes());
@@ -90,11 +92,11 @@
     for peer in peers.into_iter().take(MAX_PEERS) {
         match send(gateway, context, peer).await {
             Ok(response) => {
-                log_outcome(gateway, context, peer, response.status().as_str());
+                log_outcome(gateway, context, retry_state, peer, response.status().as_str());
                 return Ok(response);
             }
             Err(error) => {
-                log_outcome(gateway, context, peer, error.metric_label());
+                log_outcome(gateway, context, retry_state, peer, error.metric_label());
                 last_error = error;
             }
         }
@@ -105,12 +107,20 @@
     Err(last_error)
 }
 
-fn log_outcome(gateway: &Gateway, context: &RequestContext, peer: Ipv4Addr, outcome: &str) {
+fn log_outcome(
+    gateway: &Gateway,
+    context: &RequestContext,
+    retry_state: &RetryState,
+    peer: Ipv4Addr,
+    outcome: &str,
+) {
     gateway.metrics.forwards.with_label_values(&[outcome]).inc();
     spdlog::info!(
-        "forward: id={} route={} peer={peer} outcome={outcome} elapsed_ms={}",
+        "forward: id={} route={} peer={peer} outcome={outcome} sent={} ran={} elapsed_ms={}",
         context.metadata.attempt_id,
         context.route().name,
+        retry_state.sent,
+        retry_state.ran,
         gateway.now().since(context.arrived)
     );
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -81,10 +81,11 @@
     let mut reload = signal(SignalKind::hangup())?;
     let settings = &gateway.settings;
     spdlog::info!(
-        "gateway: started name={} data_centre={} clients={}",
+        "gateway: started name={} data_centre={} clients={} first_start={}",
         settings.name,
         settings.data_centre,
-        settings.listen.clients
+        settings.listen.clients,
+        settings.first_start
     );
     let peer_socket = UdpSocket::bind((settings.address, settings.listen.peers))
         .await
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -126,21 +126,35 @@
             Err(selection) => return selection,
         }
     };
-    if retry_state.sent > 0 {
-        if !gateway.retry_budget.borrow_mut().try_acquire(
-            &context.service,
-            gateway.count_budget_shares(),
-            gateway.now(),
-        ) {
-            return Selection::Unavailable(Unavailable::RetryBudget);
-        }
-        gateway.metrics.retries.inc();
+    if retry_state.sent > 0 && !take_retry(gateway, context) {
+        return Selection::Unavailable(Unavailable::RetryBudget);
     }
     retry_state.sent += 1;
     retry_state.tried_nodes.push(handle.node());
     Selection::Endpoint(handle, permit)
 }
 
+/// Takes a retry from the budget of the request's service; returns whether it allowed it.
+fn take_retry(gateway: &Gateway, context: &RequestContext) -> bool {
+    let (gateways, now) = (gateway.count_budget_shares(), gateway.now());
+    let mut budget = gateway.retry_budget.borrow_mut();
+    let state = budget.state(&context.service, gateways, now);
+    let is_allowed = budget.try_acquire(&context.service, gateways, now);
+    spdlog::info!(
+        "budget: id={} service={} allowed={is_allowed} retries={} limit={:.1} requests={} \
+         gateways={gateways}",
+        context.metadata.attempt_id,
+        context.service,
+        state.retries,
+        state.allowed,
+        state.requests
+    );
+    if is_allowed {
+        gateway.metrics.retries.inc();
+    }
+    is_allowed
+}
+
 /// Returns the time until the first endpoint of the request's service accepts requests again,
 /// in milliseconds; 0 if one accepts them now.
 pub(crate) fn wait_ms(gateway: &Gateway, context: &RequestContext) -> u64 {
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -22,6 +22,17 @@
     pub usable_share: f64,
 }
 
+/// How much of its part of a budget a gateway has used in the last window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetState {
+    /// Number of requests.
+    pub requests: usize,
+    /// Number of retries.
+    pub retries: usize,
+    /// Number of retries that these requests and the allowance permit.
+    pub allowed: f64,
+}
+
 #[derive(Debug, Default)]
 struct Usage {
     requests: VecDeque<Millis>,
@@ -64,6 +75,17 @@
     /// Takes one retry to `service` from the budget of this gateway, which is
     /// one of `gateways`; returns whether the budget allowed it.
     pub fn try_acquire(&mut self, service: &Name, gateways: usize, now: Millis) -> bool {
+        let state = self.state(service, gateways, now);
+        if state.retries as f64 + 1.0 > state.allowed {
+            return false;
+        }
+        self.services.entry(service.clone()).or_default().retries.push_back(now);
+        true
+    }
+
+    /// Returns what this gateway, which is one of `gateways`, has used of the budget of
+    /// `service`.
+    pub fn state(&mut self, service: &Name, gateways: usize, now: Millis) -> BudgetState {
         let limit = self.limit;
         let usage = self.services.entry(service.clone()).or_default();
         remove_expired(&mut usage.requests, now, limit.window_ms);
@@ -72,12 +94,9 @@
             true => 0.0,
             false => limit.slack / gateways.max(1) as f64,
         };
-        let allowed = (limit.ratio * usage.requests.len() as f64 + slack) * limit.usable_share;
-        if usage.retries.len() as f64 + 1.0 > allowed {
-            return false;
-        }
-        usage.retries.push_back(now);
-        true
+        let (requests, retries) = (usage.requests.len(), usage.retries.len());
+        let allowed = (limit.ratio * requests as f64 + slack) * limit.usable_share;
+        BudgetState { requests, retries, allowed }
     }
 }
 
