Count the sends of a request for its whole life, also where it is handed over

Cause: selection asked the retry budget before each endpoint after the first it selected itself. A request that is handed over after it was sent began anew at the other gateway: its next send was no retry there, it might run as often as the route allows once more, and it raised that gateway's allowance a second time. The class of fault: state of a request's whole life kept by one of the paths that it takes.

Now the sends belong to the request (policy::sends) and go with it in a header of the hand-over. The budget issues a grant for each send, and an attempt cannot be built without one, whichever path leads there. A request is recorded by one gateway; a retry made by the other gateway is taken from the budget of the one that recorded it, or else from the other's. A send that found no connection is no retry and is given back.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
     pool::{Connection, SendError},
     quarantine, reach,
     request_context::RequestContext,
+    selected::Selected,
     selection,
 };
 
@@ -42,17 +43,17 @@
 }
 
 impl Attempt {
-    /// Sends a request to an endpoint with its permit once the response is polled; a stream starts after
-    /// `last_event`.
+    /// Sends a request to the selected endpoint once the response is polled; a stream starts
+    /// after `last_event`.
     pub(crate) fn start(
         gateway: &Rc<Gateway>,
         context: &Rc<RequestContext>,
-        (handle, permit): (Rc<EndpointHandle>, Permit),
+        selected: Selected,
         last_event: Option<u64>,
     ) -> Attempt {
-        let (gateway, context, receiver) = (gateway.clone(), context.clone(), handle.clone());
-        let response =
-            async move { send_once(&gateway, &context, &receiver, permit, last_event).await };
+        let (gateway, context, handle) =
+            (gateway.clone(), context.clone(), selected.handle.clone());
+        let response = async move { send_once(&gateway, &context, selected, last_event).await };
         Attempt { handle, response: Box::pin(response) }
     }
 
@@ -65,6 +66,8 @@
 /// Why an attempt yielded no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AttemptError {
+    /// The request was not sent, since no connection could be established.
+    Unsent,
     /// The request did not run and will not.
     NotRun,
     /// The request may have run.
@@ -76,7 +79,7 @@
 impl AttemptError {
     fn metric_label(self) -> &'static str {
         match self {
-            AttemptError::NotRun => "not_run",
+            AttemptError::Unsent | AttemptError::NotRun => "not_run",
             AttemptError::Unknown => "unknown",
             AttemptError::Silent => "silent",
         }
@@ -91,10 +94,11 @@
 async fn send_once(
     gateway: &Rc<Gateway>,
     context: &Rc<RequestContext>,
-    handle: &Rc<EndpointHandle>,
-    permit: Permit,
+    selected: Selected,
     last_event: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
+    let Selected { handle, permit, grant } = selected;
+    let handle = &handle;
     let in_flight = InFlight::new(handle.clone(), context.prefix, gateway.loads.clone());
     let request = build_request(gateway, context, handle, last_event);
     let sent = handle.pool.send(request).await;
@@ -102,9 +106,10 @@
     let (response, mut connection) = match sent {
         Ok(sent) => sent,
         Err(SendError::Unreachable) => {
+            gateway.retry_budget.borrow_mut().refund(&context.service, grant);
             reach::start_check(gateway);
             handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
-            return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "unreachable"));
+            return Err(log_failure(gateway, context, handle, AttemptError::Unsent, "unreachable"));
         }
         Err(SendError::ConnectionLost { idle_ms, io }) => {
             reach::start_check(gateway);
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -15,6 +15,7 @@
 use crate::{
     attempt::{Attempt, AttemptError, OpenResponse, log_failure, log_silence},
     body_buffer::{self, BodyError},
+    budget,
     error_response::{Code, ErrorResponse},
     forward::{self, ForwardError},
     gateway::Gateway,
@@ -47,13 +48,16 @@
     gateway: &Rc<Gateway>,
     context: Rc<RequestContext>,
 ) -> Result<Response<ReplyBody>, ErrorResponse> {
-    gateway.retry_budget.borrow_mut().record_request(&context.service, gateway.now());
+    let mut retry_state = RetryState::new(&context);
+    let is_forward_due = forward::is_due(gateway, &context);
+    if !is_forward_due {
+        budget::record_request(gateway, &context, &mut retry_state);
+    }
     if let Some(retry_ms) = quarantine::find_refusal(gateway, &context) {
         return Err(ErrorResponse::with_retry_after(Code::Crasher, retry_ms));
     }
-    let mut retry_state = RetryState { build: context.build, ..RetryState::default() };
-    if forward::is_due(gateway, &context) {
-        let forwarded = forward::run(gateway, &context, &retry_state).await;
+    if is_forward_due {
+        let forwarded = forward::run(gateway, &context, &mut retry_state.sends).await;
         return forwarded.map_err(|it| forward_error(&context, it));
     }
     let progress = if context.build.is_some() { Progress::Started } else { Progress::New };
@@ -107,16 +111,15 @@
             },
             Err(error) => error,
         };
-        if error != AttemptError::NotRun {
+        retry_state.record_failure(error);
+        if matches!(error, AttemptError::Unknown | AttemptError::Silent) {
             last_error = error;
-            retry_state.ran += 1;
         }
         if replacement.is_some() {
             continue;
         }
-        let may_have_run = retry_state.ran > 0;
-        if retry_state.ran >= context.route().max_attempts
-            || (may_have_run && context.route().retry == RetryPolicy::Never)
+        if retry_state.is_used_up(context.route())
+            || (retry_state.may_have_run() && context.route().retry == RetryPolicy::Never)
         {
             break;
         }
@@ -124,15 +127,16 @@
     if let Some(response) = server_error {
         return Ok(response);
     }
-    let may_run = retry_state.ran == 0
+    let may_run = !retry_state.may_have_run()
         || (context.route().retry != RetryPolicy::Never
-            && retry_state.ran < context.route().max_attempts);
+            && !retry_state.is_used_up(context.route()));
     if !may_run || !forward::is_due(gateway, &context) {
         return Err(final_error(gateway, &context, &retry_state, last_error));
     }
-    match forward::run(gateway, &context, &retry_state).await {
+    budget::prepay(gateway, &context, &mut retry_state);
+    match forward::run(gateway, &context, &mut retry_state.sends).await {
         // It has not run at the other gateway, but may have run before.
-        Ok(response) if retry_state.ran > 0 && promises_not_run(response.status()) => {
+        Ok(response) if retry_state.may_have_run() && promises_not_run(response.status()) => {
             Err(final_error(gateway, &context, &retry_state, last_error))
         }
         Ok(response) => Ok(response),
@@ -182,11 +186,11 @@
     progress: Progress,
 ) -> Result<Option<Attempt>, ErrorResponse> {
     match selection::next_endpoint(gateway, context, retry_state, progress).await {
-        Selection::Endpoint(handle, permit) => {
+        Selection::Endpoint(selected) => {
             let last_event = context.metadata.last_event;
-            Ok(Some(Attempt::start(gateway, context, (handle, permit), last_event)))
+            Ok(Some(Attempt::start(gateway, context, selected, last_event)))
         }
-        Selection::Overloaded if retry_state.sent == 0 => {
+        Selection::Overloaded if !retry_state.has_tried() && !retry_state.may_have_run() => {
             let retry_ms = admission::retry_after_ms(
                 &gateway.settings.policy,
                 context.remaining_ms(gateway.now()),
@@ -272,13 +276,13 @@
     retry_state: &RetryState,
     last_error: AttemptError,
 ) -> ErrorResponse {
-    if retry_state.ran > 0 {
+    if retry_state.may_have_run() {
         let code = if last_error == AttemptError::Silent { Code::Timeout } else { Code::Unknown };
         return ErrorResponse::from_code(code);
     }
     let code = if context.remaining_ms(gateway.now()) < MIN_REMAINING_MS {
         Code::TooLate
-    } else if retry_state.sent == 0 {
+    } else if !retry_state.has_tried() {
         Code::NoEndpoint
     } else {
         Code::Refused
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,8 +1,8 @@
 //! Hands requests over to another gateway, which reaches endpoints that this one does not.
 //!
 //! A request is handed over at most once: the other gateway serves it as it would serve a
-//! client's, but never hands it on. The header [`DEADLINE_HEADER`] marks such a request and
-//! states the time left.
+//! client's, but never hands it on. What this gateway has sent for it counts there too; see
+//! [`Handover`].
 
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
@@ -12,25 +12,23 @@
 use hyper::{
     Request, Response, Version,
     body::{Frame, Incoming},
-    header::{HeaderName, HeaderValue},
+    header::HeaderName,
     http::response,
 };
 use mimosaledge_core::hash::hash64;
 use mimosaledge_net::server::{Aborted, ReplyBody, full_body};
+use mimosaledge_policy::sends::Sends;
 use tokio::time::timeout;
 
 use crate::{
     body_buffer,
     gateway::Gateway,
+    handover::Handover,
     headers::strip_hop_by_hop_headers,
     pool::{Connection, Pool, SendError},
     request_context::RequestContext,
-    retry_state::RetryState,
 };
 
-/// Time left until the deadline of a request that another gateway has handed over, in
-/// milliseconds.
-pub(crate) const DEADLINE_HEADER: HeaderName = HeaderName::from_static("gateway-deadline-ms");
 /// Present in a response that rejects such a request because the other gateway reaches no
 /// endpoint of the service either.
 pub(crate) const NO_ENDPOINT_HEADER: HeaderName = HeaderName::from_static("gateway-no-endpoint");
@@ -83,26 +81,28 @@
 pub(crate) async fn run(
     gateway: &Rc<Gateway>,
     context: &Rc<RequestContext>,
-    retry_state: &RetryState,
+    sends: &mut Sends,
 ) -> Result<Response<ReplyBody>, ForwardError> {
     let mut peers: Vec<Ipv4Addr> = gateway.peers.borrow().serving(gateway.now()).collect();
     let hash = hash64(context.metadata.attempt_id.as_bytes());
     peers.sort_unstable_by_key(|it| hash64(&(hash ^ u64::from(it.to_bits())).to_le_bytes()));
     let mut last_error = ForwardError::NotRun;
     for peer in peers.into_iter().take(MAX_PEERS) {
-        match send(gateway, context, peer).await {
+        match send(gateway, context, *sends, peer).await {
             Ok(response) => {
-                log_outcome(gateway, context, retry_state, peer, response.status().as_str());
+                log_outcome(gateway, context, *sends, peer, response.status().as_str());
                 return Ok(response);
             }
             Err(error) => {
-                log_outcome(gateway, context, retry_state, peer, error.metric_label());
+                log_outcome(gateway, context, *sends, peer, error.metric_label());
                 last_error = error;
             }
         }
         if last_error != ForwardError::NotRun {
             break;
         }
+        // The other gateway may have recorded it.
+        sends.is_recorded = true;
     }
     Err(last_error)
 }
@@ -110,7 +110,7 @@
 fn log_outcome(
     gateway: &Gateway,
     context: &RequestContext,
-    retry_state: &RetryState,
+    sends: Sends,
     peer: Ipv4Addr,
     outcome: &str,
 ) {
@@ -119,8 +119,8 @@
         "forward: id={} route={} peer={peer} outcome={outcome} sent={} ran={} elapsed_ms={}",
         context.metadata.attempt_id,
         context.route().name,
-        retry_state.sent,
-        retry_state.ran,
+        sends.sent,
+        sends.ran,
         gateway.now().since(context.arrived)
     );
 }
@@ -129,11 +129,13 @@
 async fn send(
     gateway: &Rc<Gateway>,
     context: &Rc<RequestContext>,
+    sends: Sends,
     peer: Ipv4Addr,
 ) -> Result<Response<ReplyBody>, ForwardError> {
     let pool = gateway.forward_table.borrow_mut().pool(gateway, peer);
-    let sent = timeout(remaining(gateway, context), pool.send(build_request(gateway, context)));
-    let (response, connection) = match sent.await {
+    let request = build_request(gateway, context, sends);
+    let sent = timeout(remaining(gateway, context), pool.send(request)).await;
+    let (response, connection) = match sent {
         Ok(Ok(sent)) => sent,
         Ok(Err(SendError::Unreachable)) => return Err(ForwardError::NotRun),
         Ok(Err(SendError::ConnectionLost { .. })) => return Err(ForwardError::Unknown),
@@ -152,15 +154,19 @@
     body.collect(head, &pool).await
 }
 
-fn build_request(gateway: &Gateway, context: &RequestContext) -> Request<Full<Bytes>> {
+fn build_request(
+    gateway: &Gateway,
+    context: &RequestContext,
+    sends: Sends,
+) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(context.body.clone()));
     *request.method_mut() = context.head.method.clone();
     *request.uri_mut() = context.head.uri.clone();
     *request.version_mut() = Version::HTTP_11;
     let mut headers = context.head.headers.clone();
     strip_hop_by_hop_headers(&mut headers);
-    let remaining_ms = context.remaining_ms(gateway.now());
-    headers.insert(DEADLINE_HEADER, HeaderValue::from(remaining_ms));
+    let deadline_ms = Some(context.remaining_ms(gateway.now()));
+    Handover { deadline_ms, sends }.insert_into(&mut headers);
     *request.headers_mut() = headers;
     request
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,8 +12,9 @@
 //! | `attempt` | one attempt: sends a request to one endpoint |
 //! | `attempts` | sends a request to endpoints, one after the other |
 //! | `body_buffer` | buffers the bodies of responses within a limit |
-//! | `retry_state` | what has been tried for one request |
-//! | `selection` | selects the endpoint for each attempt, or none under overload |
+//! | `retry_state`, `handover` | what has been tried for one request, also at another gateway |
+//! | `selection`, `selected` | selects the endpoint for each attempt, or none under overload |
+//! | `budget` | takes retries from the retry budget |
 //! | `silence` | gives up a silent endpoint only for another one |
 //! | `permits`, `permit`, `permit_table`, `claims` | keep the limits of endpoints with the other gateways |
 //! | `endpoint_limits` | the limits that an endpoint has named |
@@ -35,6 +36,7 @@
 mod attempt;
 mod attempts;
 mod body_buffer;
+mod budget;
 mod claims;
 mod clock;
 mod cursor;
@@ -54,6 +56,7 @@
 mod forward_table;
 mod gateway;
 mod gossip;
+mod handover;
 mod headers;
 mod http_client;
 mod listener;
@@ -74,6 +77,7 @@
 mod request_context;
 mod retry_state;
 mod run;
+mod selected;
 mod selection;
 mod settings;
 mod silence;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    attempt::{self, Attempt, AttemptError, OpenResponse},
+    attempt::{self, Attempt, OpenResponse},
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
@@ -250,7 +250,7 @@
         handle.record_outcome(policy, Outcome::Failed, self.gateway.now());
         let received = Some(self.upstream.received);
         quarantine::check_for_crash(&self.gateway, &self.context, handle, received);
-        self.retry_state.ran += 1;
+        self.retry_state.record_run();
     }
 
     /// Continues the stream at another endpoint, to which `replacement` was sent if there
@@ -295,10 +295,10 @@
                     self.upstream = Upstream::from_open(open);
                     return true;
                 }
-                Ok(Err(AttemptError::NotRun)) => {}
-                Ok(Ok(_) | Err(_)) => self.retry_state.ran += 1,
+                Ok(Ok(_)) => self.retry_state.record_run(),
+                Ok(Err(error)) => self.retry_state.record_failure(error),
                 Err(_) => {
-                    self.retry_state.ran += 1;
+                    self.retry_state.record_run();
                     let policy = &self.gateway.settings.policy;
                     attempt.handle.record_outcome(policy, Outcome::Silent, self.gateway.now());
                     attempt::log_silence(&self.gateway, &self.context, &attempt.handle);
@@ -309,20 +309,20 @@
 
     /// Returns whether an endpoint may still be found to resume the stream.
     fn may_search_again(&self) -> bool {
-        self.retry_state.ran < self.context.route().max_attempts
-            && self.retry_state.sent < selection::MAX_SENDS
+        !self.retry_state.is_used_up(self.context.route())
+            && !self.retry_state.is_at_send_limit()
             && self.context.remaining_ms(self.gateway.now()) >= selection::MIN_REMAINING_MS
     }
 
     /// Starts an attempt to resume the stream at another endpoint, if the route and the
     /// retry budget allow it.
     async fn start_next(&mut self) -> Option<Attempt> {
-        if self.retry_state.ran >= self.context.route().max_attempts {
+        if self.retry_state.is_used_up(self.context.route()) {
             spdlog::info!(
                 "retry: id={} denied=true cause=max_attempts sent={} ran={}",
                 self.context.metadata.attempt_id,
-                self.retry_state.sent,
-                self.retry_state.ran
+                self.retry_state.sends.sent,
+                self.retry_state.sends.ran
             );
             return None;
         }
@@ -330,8 +330,8 @@
         let next =
             selection::next_endpoint(gateway, context, &mut self.retry_state, Progress::Started)
                 .await;
-        let Selection::Endpoint(handle, permit) = next else { return None };
-        Some(Attempt::start(gateway, context, (handle, permit), self.splitter.last_id()))
+        let Selection::Endpoint(selected) = next else { return None };
+        Some(Attempt::start(gateway, context, selected, self.splitter.last_id()))
     }
 
     /// Logs the end of a stream that could not be resumed.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -26,6 +26,7 @@
     error_response::{Code, ErrorResponse},
     forward,
     gateway::Gateway,
+    handover::Handover,
     origins,
     request_context::RequestContext,
 };
@@ -75,8 +76,12 @@
     let arrived = gateway.now();
     let (mut head, body) = incoming.into_parts();
     let mut metadata = gateway.dialect.decode_request(&head);
-    if source == Source::Gateway {
-        metadata.deadline_ms = take_deadline(&mut head).or(metadata.deadline_ms);
+    let handover = match source {
+        Source::Client => None,
+        Source::Gateway => Some(Handover::take_from(&mut head.headers)),
+    };
+    if let Some(deadline_ms) = handover.and_then(|it| it.deadline_ms) {
+        metadata.deadline_ms = Some(deadline_ms);
     }
     let attempt_id = metadata.attempt_id.clone();
     let mut cancel_log = CancelLog {
@@ -85,7 +90,7 @@
         arrived,
         finished: false,
     };
-    let result = match prepare(gateway, head, metadata, body, arrived, source).await {
+    let result = match prepare(gateway, head, metadata, body, arrived, handover).await {
         Ok(context) => attempts::run(gateway, Rc::new(context)).await,
         Err(error) => Err(error),
     };
@@ -113,11 +118,6 @@
     response
 }
 
-/// Removes the time left that the gateway which hands a request over has stated.
-fn take_deadline(head: &mut Parts) -> Option<u64> {
-    head.headers.remove(forward::DEADLINE_HEADER)?.to_str().ok()?.parse().ok()
-}
-
 /// Authorizes a request, reads its body and selects its service.
 async fn prepare(
     gateway: &Gateway,
@@ -125,7 +125,7 @@
     metadata: RequestMetadata,
     body: Incoming,
     arrived: Millis,
-    source: Source,
+    handover: Option<Handover>,
 ) -> Result<RequestContext, ErrorResponse> {
     let authorized = authorize(gateway, &head, &metadata)?;
     let timeout_ms = metadata.deadline_ms.unwrap_or(u64::MAX).min(authorized.route.timeout_ms);
@@ -167,7 +167,8 @@
         prefix,
         fingerprint,
         shared_parts,
-        is_forwarded: source == Source::Gateway,
+        is_forwarded: handover.is_some(),
+        sends: handover.unwrap_or_default().sends,
         size,
         arrived,
         deadline,
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use mimosaledge_core::{Millis, Name};
-use mimosaledge_policy::{Route, config::AuthorizedRequest, permits::RequestSize};
+use mimosaledge_policy::{Route, config::AuthorizedRequest, permits::RequestSize, sends::Sends};
 
 use crate::dialect::RequestMetadata;
 
@@ -28,6 +28,8 @@
     pub(crate) shared_parts: Vec<u64>,
     /// Whether another gateway has handed the request over.
     pub(crate) is_forwarded: bool,
+    /// What that gateway has sent for the request.
+    pub(crate) sends: Sends,
     /// Size of the request, compared to the others of the service.
     pub(crate) size: RequestSize,
     pub(crate) arrived: Millis,
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -12,16 +12,14 @@
 };
 
 use crate::{
-    claims::Claims, endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway,
-    permit::Permit, permits, quarantine, request_context::RequestContext, retry_state::RetryState,
+    budget, claims::Claims, endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway,
+    permits, quarantine, request_context::RequestContext, retry_state::RetryState,
+    selected::Selected,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
 /// milliseconds.
 pub(crate) const MIN_REMAINING_MS: u64 = 15;
-/// Maximum number of endpoints that one request is sent to, including those
-/// that refuse it.
-pub(crate) const MAX_SENDS: u32 = 4;
 /// Maximum number of endpoints that a request is denied a permit for before it goes to one
 /// without a rate limit.
 const MAX_DENIED_PERMITS: u32 = 2;
@@ -37,8 +35,8 @@
 
 /// Result of selecting the next endpoint.
 pub(crate) enum Selection {
-    /// Send the request to this endpoint, with this permit.
-    Endpoint(Rc<EndpointHandle>, Permit),
+    /// Send the request to this endpoint.
+    Endpoint(Selected),
     /// Every remaining engine is at its load limit.
     Overloaded,
     /// No endpoint may be sent the request.
@@ -84,14 +82,14 @@
 ) -> Selection {
     let selection = try_next_endpoint(gateway, context, retry_state, progress).await;
     if let Selection::Unavailable(cause) = &selection
-        && retry_state.sent > 0
+        && retry_state.has_tried()
     {
         spdlog::info!(
             "retry: id={} denied=true cause={} sent={} ran={}",
             context.metadata.attempt_id,
             cause.log_label(),
-            retry_state.sent,
-            retry_state.ran
+            retry_state.sends.sent,
+            retry_state.sends.ran
         );
     }
     selection
@@ -103,10 +101,10 @@
     retry_state: &mut RetryState,
     progress: Progress,
 ) -> Selection {
-    if retry_state.sent >= MAX_SENDS {
+    if retry_state.is_at_send_limit() {
         return Selection::Unavailable(Unavailable::SendLimit);
     }
-    if retry_state.sent > 0 && quarantine::find_refusal(gateway, context).is_some() {
+    if retry_state.has_tried() && quarantine::find_refusal(gateway, context).is_some() {
         return Selection::Unavailable(Unavailable::Quarantined);
     }
     let mut denied_permits = 0;
@@ -126,33 +124,11 @@
             Err(selection) => return selection,
         }
     };
-    if retry_state.sent > 0 && !take_retry(gateway, context) {
+    let Some(grant) = budget::admit(gateway, context, retry_state) else {
         return Selection::Unavailable(Unavailable::RetryBudget);
-    }
-    retry_state.sent += 1;
-    retry_state.tried_nodes.push(handle.node());
-    Selection::Endpoint(handle, permit)
-}
-
-/// Takes a retry from the budget of the request's service; returns whether it allowed it.
-fn take_retry(gateway: &Gateway, context: &RequestContext) -> bool {
-    let (gateways, now) = (gateway.count_budget_shares(), gateway.now());
-    let mut budget = gateway.retry_budget.borrow_mut();
-    let state = budget.state(&context.service, gateways, now);
-    let is_allowed = budget.try_acquire(&context.service, gateways, now);
-    spdlog::info!(
-        "budget: id={} service={} allowed={is_allowed} retries={} limit={:.1} requests={} \
-         gateways={gateways}",
-        context.metadata.attempt_id,
-        context.service,
-        state.retries,
-        state.allowed,
-        state.requests
-    );
-    if is_allowed {
-        gateway.metrics.retries.inc();
-    }
-    is_allowed
+    };
+    retry_state.record_selected(&handle);
+    Selection::Endpoint(Selected { handle, permit, grant })
 }
 
 /// Returns the time until the first endpoint of the request's service accepts requests again,
@@ -202,7 +178,7 @@
                 context.route().name,
                 available.len(),
                 known.len(),
-                retry_state.sent,
+                retry_state.sends.sent,
                 gateway.config_version(),
                 gateway.list_age_ms()
             );
@@ -231,7 +207,7 @@
         candidate.refusal_rate,
         available.len(),
         known.len(),
-        retry_state.sent,
+        retry_state.sends.sent,
         gateway.config_version(),
         gateway.list_age_ms()
     );
@@ -257,7 +233,7 @@
 ) -> u64 {
     let remaining_ms = context.remaining_ms(gateway.now());
     let goal_timeout_ms = context.route().latency_goal_ms * LATENCY_GOAL_FACTOR;
-    let may_retry = retry_state.ran + 1 < context.route().max_attempts;
+    let may_retry = retry_state.allows_replacement(context.route());
     match context.route().retry {
         RetryPolicy::Always if may_retry => {
             goal_timeout_ms.max(MIN_RESPONSE_TIMEOUT_MS).min(remaining_ms * 2 / 3)
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    attempt::{Attempt, AttemptError, OpenResponse},
+    attempt::{Attempt, OpenResponse},
     endpoint_handle::EndpointHandle,
     gateway::Gateway,
     reach,
@@ -86,22 +86,22 @@
                         return Waited::Received(received, Some(attempt));
                     }
                     // The replacement is cancelled, but may have run.
-                    self.retry_state.ran += 1;
+                    self.retry_state.record_run();
                     return Waited::Received(received, None);
                 }
                 opened = attempt.response.as_mut() => match opened {
-                    Err(AttemptError::NotRun) => {}
                     Ok(open) if self.is_usable(&open) => {
-                        self.retry_state.ran += 1;
+                        self.retry_state.record_run();
                         return Waited::Replaced(attempt.into_opened(open));
                     }
-                    Ok(_) | Err(_) => self.retry_state.ran += 1,
+                    Ok(_) => self.retry_state.record_run(),
+                    Err(error) => self.retry_state.record_failure(error),
                 },
                 () = sleep(self.overlap()) => {
                     if self.remaining().is_zero() {
                         break;
                     }
-                    self.retry_state.ran += 1;
+                    self.retry_state.record_run();
                     return Waited::Replaced(attempt);
                 }
             }
@@ -135,8 +135,8 @@
             self.context.metadata.attempt_id,
             self.handle.id(),
             self.patience.as_millis(),
-            self.retry_state.sent,
-            self.retry_state.ran
+            self.retry_state.sends.sent,
+            self.retry_state.sends.ran
         );
         reach::start_check(self.gateway);
         let policy = &self.gateway.settings.policy;
@@ -146,7 +146,7 @@
     /// Sends the request to another endpoint, if the route and the retry budget allow it.
     async fn start_replacement(&mut self) -> Option<Attempt> {
         let route = self.context.route();
-        if route.retry == RetryPolicy::Never || self.retry_state.ran + 1 >= route.max_attempts {
+        if route.retry == RetryPolicy::Never || !self.retry_state.allows_replacement(route) {
             return None;
         }
         if self.remaining() < STREAM_OVERLAP {
@@ -158,7 +158,7 @@
         let next =
             selection::next_endpoint(self.gateway, self.context, self.retry_state, self.progress)
                 .await;
-        let Selection::Endpoint(handle, permit) = next else { return None };
-        Some(Attempt::start(self.gateway, self.context, (handle, permit), self.last_event))
+        let Selection::Endpoint(selected) = next else { return None };
+        Some(Attempt::start(self.gateway, self.context, selected, self.last_event))
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,7 +11,7 @@
 //! | [`placement`] | choice of the endpoint for a request, within the load bound |
 //! | [`prefix_cache`] | prompt prefixes that engines have cached |
 //! | [`admission`] | admission control for engines under overload |
-//! | [`retry_budget`] | retry budgets per service |
+//! | [`retry_budget`], [`sends`] | retry budgets per service, and what counts in them |
 //! | [`permits`] | rate limits of endpoints, which all gateways share |
 //! | [`concurrency`] | requests in flight at endpoints that must not have to refuse many |
 //! | [`issuers`] | choice of the gateway that keeps each of these limits |
@@ -42,6 +42,7 @@
 pub mod prefix_cache;
 pub mod retry_budget;
 pub mod route;
+pub mod sends;
 pub mod service;
 pub mod settings;
 mod sound_parts;
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -4,11 +4,17 @@
 //! one may retry a ratio of the requests that it has received itself, plus an
 //! equal part of a fixed allowance. A gateway that has restarted does not know how much
 //! of its part it has used before, and takes none of it until a window has passed.
+//!
+//! A request counts once, at one gateway, and each of its sends after the first is a retry,
+//! whichever gateway sends it and for whatever reason. Nothing is sent without a
+//! [`SendGrant`].
 
 use std::collections::{HashMap, VecDeque};
 
 use mimosaledge_core::{Millis, Name};
 
+use crate::sends::{SendGrant, Sends};
+
 /// The limit on retries to one service, over all gateways.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimit {
@@ -65,16 +71,53 @@
         self.limit = limit;
     }
 
-    /// Records a client's request to `service`.
-    pub fn record_request(&mut self, service: &Name, now: Millis) {
+    /// Records a client's request to `service`, unless a gateway has done so before.
+    pub fn record_request(&mut self, service: &Name, sends: &mut Sends, now: Millis) {
+        if std::mem::replace(&mut sends.is_recorded, true) {
+            return;
+        }
         let usage = self.services.entry(service.clone()).or_default();
         usage.requests.push_back(now);
         remove_expired(&mut usage.requests, now, self.limit.window_ms);
     }
 
-    /// Takes one retry to `service` from the budget of this gateway, which is
-    /// one of `gateways`; returns whether the budget allowed it.
-    pub fn try_acquire(&mut self, service: &Name, gateways: usize, now: Millis) -> bool {
+    /// Allows a request to be sent to an endpoint of `service`: if it may have been sent to
+    /// one before, this takes a retry from the budget of this gateway, which is one of
+    /// `gateways`, unless it is prepaid. Returns `None` if no retry is left.
+    pub fn admit(
+        &mut self,
+        service: &Name,
+        sends: &mut Sends,
+        gateways: usize,
+        now: Millis,
+    ) -> Option<SendGrant> {
+        let is_charged = sends.is_charged();
+        if is_charged && !self.take_retry(service, gateways, now) {
+            return None;
+        }
+        sends.is_prepaid = false;
+        sends.sent += 1;
+        Some(SendGrant { is_charged })
+    }
+
+    /// Takes a grant back that was not used, since the endpoint could not be reached.
+    pub fn refund(&mut self, service: &Name, grant: SendGrant) {
+        if grant.is_charged
+            && let Some(usage) = self.services.get_mut(service)
+        {
+            usage.retries.pop_back();
+        }
+    }
+
+    /// Takes the next send of a request that is handed over from the budget of this gateway,
+    /// if that is a retry and allowed, so that the other gateway need not.
+    pub fn prepay(&mut self, service: &Name, sends: &mut Sends, gateways: usize, now: Millis) {
+        if sends.is_charged() {
+            sends.is_prepaid = self.take_retry(service, gateways, now);
+        }
+    }
+
+    fn take_retry(&mut self, service: &Name, gateways: usize, now: Millis) -> bool {
         let state = self.state(service, gateways, now);
         if state.retries as f64 + 1.0 > state.allowed {
             return false;
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -12,6 +12,7 @@
     health::{Health, Outcome},
     prefix_cache::{CachedPrefixes, fetch_source},
     retry_budget::{RetryBudget, RetryLimit},
+    sends::Sends,
 };
 use proptest::prelude::*;
 
@@ -197,6 +198,17 @@
     assert_eq!(copy.digest(), before);
 }
 
+/// Records a request that no gateway has recorded before.
+fn record_request(budget: &mut RetryBudget, service: &Name, now: Millis) {
+    budget.record_request(service, &mut Sends::default(), now);
+}
+
+/// Returns whether a request that has been sent once may be sent again.
+fn allows_retry(budget: &mut RetryBudget, service: &Name, gateways: usize, now: Millis) -> bool {
+    let mut sends = Sends { sent: 1, ..Sends::default() };
+    budget.admit(service, &mut sends, gateways, now).is_some()
+}
+
 #[test]
 fn retries_of_all_gateways_stay_within_the_budget() {
     let service = Name::from("app");
@@ -206,10 +218,10 @@
     for _ in 0..gateways {
         let mut budget = RetryBudget::new(limit);
         for number in 0..requests {
-            budget.record_request(&service, NOW + number);
+            record_request(&mut budget, &service, NOW + number);
         }
         retries += (0..requests)
-            .filter(|it| budget.try_acquire(&service, gateways, NOW + 100 + *it))
+            .filter(|it| allows_retry(&mut budget, &service, gateways, NOW + 100 + *it))
             .count();
     }
     let allowed = 0.2 * f64::from(gateways as u32 * requests as u32) + 56.0;
@@ -223,12 +235,32 @@
     let service = Name::from("app");
     let limit = RetryLimit { ratio: 0.5, slack: 10.0, window_ms: 1_000, usable_share: 1.0 };
     let mut budget = RetryBudget::after_restart(limit, NOW);
-    assert!(!budget.try_acquire(&service, 1, NOW));
-    budget.record_request(&service, NOW + 1);
-    budget.record_request(&service, NOW + 1);
-    assert!(budget.try_acquire(&service, 1, NOW + 2));
-    assert!(!budget.try_acquire(&service, 1, NOW + 999));
-    assert!(budget.try_acquire(&service, 1, NOW + 1_000));
+    assert!(!allows_retry(&mut budget, &service, 1, NOW));
+    record_request(&mut budget, &service, NOW + 1);
+    record_request(&mut budget, &service, NOW + 1);
+    assert!(allows_retry(&mut budget, &service, 1, NOW + 2));
+    assert!(!allows_retry(&mut budget, &service, 1, NOW + 999));
+    assert!(allows_retry(&mut budget, &service, 1, NOW + 1_000));
+}
+
+// Guards against a request whose sends start anew at the gateway that it is handed over to.
+#[test]
+fn sends_of_a_request_count_at_each_gateway_that_serves_it() {
+    let service = Name::from("app");
+    let limit = RetryLimit { ratio: 0.0, slack: 1.0, window_ms: 1_000, usable_share: 1.0 };
+    let (mut first, mut second) = (RetryBudget::new(limit), RetryBudget::new(limit));
+    let mut sends = Sends::default();
+    first.record_request(&service, &mut sends, NOW);
+    assert!(first.admit(&service, &mut sends, 1, NOW).is_some(), "the first send is no retry");
+    first.prepay(&service, &mut sends, 1, NOW);
+    second.record_request(&service, &mut sends, NOW);
+    assert!(second.admit(&service, &mut sends, 1, NOW).is_some(), "taken from the first budget");
+    assert_eq!(second.state(&service, 1, NOW).retries, 0);
+    assert_eq!(second.state(&service, 1, NOW).requests, 0);
+    let grant = second.admit(&service, &mut sends, 1, NOW).unwrap();
+    assert!(second.admit(&service, &mut sends, 1, NOW).is_none(), "the budget is used up");
+    second.refund(&service, grant);
+    assert!(second.admit(&service, &mut sends, 1, NOW).is_some(), "the send did not happen");
 }
 
 #[test]
@@ -236,9 +268,9 @@
     let service = Name::from("app");
     let limit = RetryLimit { ratio: 0.0, slack: 2.0, window_ms: 1_000, usable_share: 0.8 };
     let mut budget = RetryBudget::new(limit);
-    assert!(budget.try_acquire(&service, 1, NOW));
-    assert!(!budget.try_acquire(&service, 1, NOW + 999));
-    assert!(budget.try_acquire(&service, 1, NOW + 1_000));
+    assert!(allows_retry(&mut budget, &service, 1, NOW));
+    assert!(!allows_retry(&mut budget, &service, 1, NOW + 999));
+    assert!(allows_retry(&mut budget, &service, 1, NOW + 1_000));
 }
 
 #[test]
