Check the retry budget in each window that includes the present

Cause: a gateway compared the retries of the last 10 s with the requests of the last 10 s. Operators compare the retries of any window with the requests of that window, of the one before or of the one half a window earlier, whichever are most. A window of ours could hold two bursts that no window of theirs holds.

Now the budget is checked in all windows that include the present, by the operators' count: 40 starts, and between two of them the fewer requests and all the retries.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -22,13 +22,13 @@
 ) -> Option<SendGrant> {
     let (gateways, now) = (gateway.count_budget_shares(), gateway.now());
     let mut budget = gateway.retry_budget.borrow_mut();
-    let before = budget.state(&context.service, gateways, now);
     let is_charged = retry_state.sends.is_charged();
+    let before = is_charged.then(|| budget.state(&context.service, gateways, now));
     let grant = budget.admit(&context.service, &mut retry_state.sends, gateways, now);
     if retry_state.sends.sent > 1 && grant.is_some() {
         gateway.metrics.retries.inc();
     }
-    if is_charged {
+    if let Some(before) = before {
         log_decision(gateway, context, before, grant.is_some());
     }
     grant
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -5,6 +5,10 @@
 //! equal part of a fixed allowance. A gateway that has restarted does not know how much
 //! of its part it has used before, and takes none of it until a window has passed.
 //!
+//! The limit holds in every window of its length. The requests that count for a window are
+//! those sent in it, in the one before it or in the one half a window earlier, whichever are
+//! most: retries follow their requests.
+//!
 //! A request counts once, at one gateway, and each of its sends after the first is a retry,
 //! whichever gateway sends it and for whatever reason. Nothing is sent without a
 //! [`SendGrant`].
@@ -15,6 +19,10 @@
 
 use crate::sends::{SendGrant, Sends};
 
+/// Number of windows that the limit is checked in: those that include the present, begun at
+/// regular intervals.
+const WINDOW_STARTS: u64 = 40;
+
 /// The limit on retries to one service, over all gateways.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimit {
@@ -28,10 +36,10 @@
     pub usable_share: f64,
 }
 
-/// How much of its part of a budget a gateway has used in the last window.
+/// How much of its part of a budget a gateway has used in one window.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetState {
-    /// Number of requests.
+    /// Number of requests that count for the window.
     pub requests: usize,
     /// Number of retries.
     pub retries: usize,
@@ -39,12 +47,30 @@
     pub allowed: f64,
 }
 
+impl BudgetState {
+    /// Returns the number of retries that are left.
+    fn rest(&self) -> f64 {
+        self.allowed - self.retries as f64
+    }
+}
+
 #[derive(Debug, Default)]
 struct Usage {
+    /// Requests of the last two windows.
     requests: VecDeque<Millis>,
+    /// Retries of the last window.
     retries: VecDeque<Millis>,
 }
 
+impl Usage {
+    /// Counts the requests that count for the window that begins at `start`.
+    fn count_requests(&self, start: Millis, window_ms: u64) -> usize {
+        let count_from = |from: Millis| count_between(&self.requests, from, from + window_ms);
+        let starts = [start, start - window_ms / 2, start - window_ms];
+        starts.into_iter().map(count_from).max().unwrap_or_default()
+    }
+}
+
 /// The retry budgets of all services at one gateway.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -78,7 +104,7 @@
         }
         let usage = self.services.entry(service.clone()).or_default();
         usage.requests.push_back(now);
-        remove_expired(&mut usage.requests, now, self.limit.window_ms);
+        remove_expired(&mut usage.requests, now, 2 * self.limit.window_ms);
     }
 
     /// Allows a request to be sent to an endpoint of `service`: if it may have been sent to
@@ -127,22 +153,35 @@
     }
 
     /// Returns what this gateway, which is one of `gateways`, has used of the budget of
-    /// `service`.
+    /// `service` in the window that has least of it left and includes `now`.
     pub fn state(&mut self, service: &Name, gateways: usize, now: Millis) -> BudgetState {
         let limit = self.limit;
         let usage = self.services.entry(service.clone()).or_default();
-        remove_expired(&mut usage.requests, now, limit.window_ms);
+        remove_expired(&mut usage.requests, now, 2 * limit.window_ms);
         remove_expired(&mut usage.retries, now, limit.window_ms);
         let slack = match now < self.slack_from {
             true => 0.0,
             false => limit.slack / gateways.max(1) as f64,
         };
-        let (requests, retries) = (usage.requests.len(), usage.retries.len());
-        let allowed = (limit.ratio * requests as f64 + slack) * limit.usable_share;
-        BudgetState { requests, retries, allowed }
+        let start = |index: u64| now - limit.window_ms * index / WINDOW_STARTS;
+        let count_requests = |index| usage.count_requests(start(index), limit.window_ms);
+        // The windows that begin at one start, at the next earlier one or between them.
+        let state_of = |index| {
+            let requests = count_requests(index).min(count_requests(index + 1));
+            let allowed = (limit.ratio * requests as f64 + slack) * limit.usable_share;
+            let retries = count_between(&usage.retries, start(index + 1), now + 1);
+            BudgetState { requests, retries, allowed }
+        };
+        let states = (1..WINDOW_STARTS).map(state_of);
+        states.fold(state_of(0), |least, it| if it.rest() < least.rest() { it } else { least })
     }
 }
 
+/// Counts the sorted `times` from `start` until before `end`.
+fn count_between(times: &VecDeque<Millis>, start: Millis, end: Millis) -> usize {
+    times.partition_point(|it| *it < end) - times.partition_point(|it| *it < start)
+}
+
 fn remove_expired(times: &mut VecDeque<Millis>, now: Millis, window_ms: u64) {
     while times.front().is_some_and(|&at| now.since(at) >= window_ms) {
         times.pop_front();
