Keep what an endpoint has said with its incarnation, not with its list entry

Cause: pause, leaving, limits, load and health are kept in the handle that the endpoint table makes for an entry of the list, and dropped with it. An entry that lapses while the endpoint lives, or that another writer overwrites, and comes back with the same incarnation got a handle that knew nothing. The class of fault: state of an incarnation's whole life kept by its list entry.

What is heard meanwhile, from responses under way or other gateways, is kept too. A new incarnation has another node number and inherits nothing. One line says what still holds of an endpoint that returns.

--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -150,8 +150,20 @@
         }
     }
 
+    /// Logs what still holds of an incarnation that is listed again after `absent_ms`.
+    pub(crate) fn log_return(&self, absent_ms: u64) {
+        spdlog::info!(
+            "health: endpoint={} returned=true absent_ms={absent_ms} pause_ms={} leaving={} \
+             rate_limit={:?}",
+            self.id(),
+            self.pause_ms(),
+            self.is_leaving.get(),
+            self.limits().rate
+        );
+    }
+
     /// Returns the time for which the endpoint still wants no requests, in milliseconds.
-    fn pause_ms(&self) -> u64 {
+    pub(crate) fn pause_ms(&self) -> u64 {
         self.paused_until.get().since(self.clock.now())
     }
 
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -14,6 +14,7 @@
     endpoint_handle::{EndpointHandle, node_number},
     loads::Loads,
     settings::Settings,
+    unlisted_handles::UnlistedHandles,
 };
 
 /// Returns endpoints of one service as candidates for placement.
@@ -70,10 +71,16 @@
 }
 
 /// The handles of all listed endpoints, with indexes for lookup.
+///
+/// A handle belongs to an incarnation of an endpoint, not to its entry in the list: if the entry
+/// is removed and the same incarnation is listed again, what was known of it still holds.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointTable {
     handles: HashMap<u64, Rc<EndpointHandle>>,
-    /// The handles by the truncated node numbers that heartbeats use.
+    /// Incarnations that are not listed any more.
+    unlisted: UnlistedHandles,
+    /// The handles by the truncated node numbers that heartbeats use, also of those that are
+    /// not listed any more.
     by_short_number: HashMap<u32, Rc<EndpointHandle>>,
     by_service: HashMap<Name, Vec<Rc<EndpointHandle>>>,
     /// Mean duration of the requests of each service.
@@ -89,12 +96,13 @@
         local: Ipv4Addr,
         clock: Clock,
     ) {
+        let now = clock.now();
         let mut previous = std::mem::take(&mut self.handles);
         self.by_service.clear();
         self.by_short_number.clear();
         for endpoint in listed {
             let node = node_number(endpoint);
-            let handle = match previous.remove(&node) {
+            let handle = match previous.remove(&node).or_else(|| self.unlisted.take(node, now)) {
                 Some(handle) => {
                     *handle.endpoint.borrow_mut() = endpoint.clone();
                     handle
@@ -109,8 +117,13 @@
             self.by_short_number.insert(node as u32, handle.clone());
             self.handles.insert(node, handle);
         }
-        for handle in previous.values() {
+        self.unlisted.remove_expired(now);
+        for handle in previous.into_values() {
             handle.pool.clear();
+            self.unlisted.add(handle, now);
+        }
+        for handle in self.unlisted.iter() {
+            self.by_short_number.entry(handle.node() as u32).or_insert_with(|| handle.clone());
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 //! | `forward`, `forward_table` | hand requests over to a gateway that reaches endpoints |
 //! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
+//! | `unlisted_handles` | what is known of endpoints that are not listed for a time |
 //! | `origins` | finds the build that began a stream that a client resumes |
 //! | `follow_config`, `follow`, `cursor` | read the configuration and lists from the store |
 //! | `gossip`, `messages`, `peers` | exchange heartbeats with the other gateways |
@@ -84,6 +85,7 @@
 mod socket;
 mod store;
 mod sync;
+mod unlisted_handles;
 
 pub use crate::{
     dialect::{Dialect, ForwardMetadata, PromptPart, RequestMetadata, ResponseMetadata},
