--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -150,8 +150,12 @@
         }
     }
 
-    /// Logs what still holds of an incarnation that is listed again after `absent_ms`.
+    /// Logs what still holds of an incarnation that is listed again after `absent_ms`, if
+    /// anything does.
     pub(crate) fn log_return(&self, absent_ms: u64) {
+        if self.pause_ms() == 0 && !self.is_leaving.get() && !self.limits().needs_permit() {
+            return;
+        }
         spdlog::info!(
             "health: endpoint={} returned=true absent_ms={absent_ms} pause_ms={} leaving={} \
              rate_limit={:?}",
