Send what replaces a silent attempt on a new connection

What callers saw: when all open connections to endpoints go silent for good, an idempotent request was sent on two of them, one after the other, and ended with 504 at its deadline.

Cause: an attempt that replaces a silent one took an idle connection to the next endpoint. What loses track of one connection loses track of others as well, and an idle one does not show it. Now it opens a new one; first attempts do not.

Tests of silent endpoints, streams, requests and cut gateways passed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,7 @@
     loads::InFlight,
     permit::Permit,
     permits,
-    pool::{Connection, SendError},
+    pool::{Connection, ConnectionChoice, SendError},
     quarantine, reach,
     request_context::RequestContext,
     selected::Selected,
@@ -49,11 +49,13 @@
         gateway: &Rc<Gateway>,
         context: &Rc<RequestContext>,
         selected: Selected,
+        choice: ConnectionChoice,
         last_event: Option<u64>,
     ) -> Attempt {
         let (gateway, context, handle) =
             (gateway.clone(), context.clone(), selected.handle.clone());
-        let response = async move { send_once(&gateway, &context, selected, last_event).await };
+        let response =
+            async move { send_once(&gateway, &context, selected, choice, last_event).await };
         Attempt { handle, response: Box::pin(response) }
     }
 
@@ -95,13 +97,14 @@
     gateway: &Rc<Gateway>,
     context: &Rc<RequestContext>,
     selected: Selected,
+    choice: ConnectionChoice,
     last_event: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
     let Selected { handle, permit, grant } = selected;
     let handle = &handle;
     let in_flight = InFlight::new(handle.clone(), context.prefix, gateway.loads.clone());
     let request = build_request(gateway, context, handle, last_event);
-    let sent = handle.pool.send(request).await;
+    let sent = handle.pool.send_on(choice, request).await;
     let now = gateway.now();
     let (response, mut connection) = match sent {
         Ok(sent) => sent,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -20,6 +20,7 @@
     forward::{self, ForwardError},
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
+    pool::ConnectionChoice,
     quarantine, relay,
     request_context::RequestContext,
     retry_state::RetryState,
@@ -188,7 +189,7 @@
     match selection::next_endpoint(gateway, context, retry_state, progress).await {
         Selection::Endpoint(selected) => {
             let last_event = context.metadata.last_event;
-            Ok(Some(Attempt::start(gateway, context, selected, last_event)))
+            Ok(Some(Attempt::start(gateway, context, selected, ConnectionChoice::Any, last_event)))
         }
         Selection::Overloaded if !retry_state.has_tried() && !retry_state.may_have_run() => {
             let retry_ms = admission::retry_after_ms(
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -44,6 +44,15 @@
     ConnectionLost { idle_ms: Option<u64>, io: Option<io::ErrorKind> },
 }
 
+/// Which connection a request is sent on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectionChoice {
+    /// An idle one if there is one.
+    Any,
+    /// A new one.
+    New,
+}
+
 /// An HTTP/1.1 connection that carries one request at a time; dropping it
 /// closes it.
 #[derive(Debug)]
@@ -101,10 +110,23 @@
     /// server.
     pub(crate) async fn send(
         &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        self.send_on(ConnectionChoice::Any, request).await
+    }
+
+    /// Does what [`Pool::send`] does, on the connection of this choice.
+    pub(crate) async fn send_on(
+        &self,
+        choice: ConnectionChoice,
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         loop {
-            let (mut connection, idle_ms) = match self.take_idle() {
+            let idle = match choice {
+                ConnectionChoice::Any => self.take_idle(),
+                ConnectionChoice::New => None,
+            };
+            let (mut connection, idle_ms) = match idle {
                 Some((connection, idle_ms)) => (connection, Some(idle_ms)),
                 None => (self.connect().await?, None),
             };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,7 +24,7 @@
     loads::InFlight,
     origins,
     permit::Permit,
-    pool::{self, Connection},
+    pool::{self, Connection, ConnectionChoice},
     quarantine,
     request_context::RequestContext,
     retry_state::RetryState,
@@ -331,7 +331,13 @@
             selection::next_endpoint(gateway, context, &mut self.retry_state, Progress::Started)
                 .await;
         let Selection::Endpoint(selected) = next else { return None };
-        Some(Attempt::start(gateway, context, selected, self.splitter.last_id()))
+        Some(Attempt::start(
+            gateway,
+            context,
+            selected,
+            ConnectionChoice::Any,
+            self.splitter.last_id(),
+        ))
     }
 
     /// Logs the end of a stream that could not be resumed.
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -14,6 +14,7 @@
     attempt::{Attempt, OpenResponse},
     endpoint_handle::EndpointHandle,
     gateway::Gateway,
+    pool::ConnectionChoice,
     reach,
     request_context::RequestContext,
     retry_state::RetryState,
@@ -159,6 +160,8 @@
             selection::next_endpoint(self.gateway, self.context, self.retry_state, self.progress)
                 .await;
         let Selection::Endpoint(selected) = next else { return None };
-        Some(Attempt::start(self.gateway, self.context, selected, self.last_event))
+        // What has silenced one connection may have silenced the idle ones as well.
+        let choice = ConnectionChoice::New;
+        Some(Attempt::start(self.gateway, self.context, selected, choice, self.last_event))
     }
 }
