--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -331,13 +331,8 @@
             selection::next_endpoint(gateway, context, &mut self.retry_state, Progress::Started)
                 .await;
         let Selection::Endpoint(selected) = next else { return None };
-        Some(Attempt::start(
-            gateway,
-            context,
-            selected,
-            ConnectionChoice::Any,
-            self.splitter.last_id(),
-        ))
+        let last_id = self.splitter.last_id();
+        Some(Attempt::start(gateway, context, selected, ConnectionChoice::Any, last_id))
     }
 
     /// Logs the end of a stream that could not be resumed.
