Complete deferred removals only with a read of the list

It completed them by a timer when the grace period ended, although it had not read on meanwhile (it follows the readers) and the endpoints had been listed again. It then synced the whole list from a peer and sent the removals to all others, with the digest of the list before and the position of the list after them. They applied them: one endpoint left of twelve, at the same position as the gateway with all twelve.

Now a read completes them, after the changes that it has returned and only if it reached the end of the list. A gateway with the same list and a later position cancels them. A batch of changes is sent only while it leads to the sender's list, and applied only if it leads to the list that the sender names, so that a position stands for one list.

--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -56,18 +56,15 @@
     }
 
     /// Applies changes of the endpoint list that were read from the store up to
-    /// `position`, and deferred removals that are now due.
-    pub(crate) fn apply_changes(&self, changes: Vec<Change>, position: Position) {
-        let now = self.now();
+    /// `position`, and deferred removals that are now due if the list ended there.
+    pub(crate) fn apply_changes(
+        &self,
+        changes: Vec<Change>,
+        position: Position,
+        is_complete: bool,
+    ) {
         let mut endpoints = self.endpoints.borrow_mut();
-        let mut applied: Vec<Change> =
-            endpoints.expire(now).into_iter().map(Change::Remove).collect();
-        for change in changes {
-            if endpoints.apply(change.clone(), now) {
-                applied.push(change);
-            }
-        }
-        endpoints.advance_to(position);
+        let applied = endpoints.apply_read(changes, position, is_complete, self.now());
         self.publish_changes(&endpoints, applied, position);
     }
 
@@ -97,11 +94,20 @@
     }
 
     /// Applies changes that a peer has read, if this gateway has the list that
-    /// they are relative to.
+    /// they are relative to and they lead to the peer's list.
     pub(crate) fn apply_batch(&self, batch: ChangeBatch, summary: &StateSummary) {
-        if batch.base_digest == self.list_digest.get() && !batch.changes.is_empty() {
-            self.apply_peer_changes(batch.changes, summary.position, "peer");
+        if batch.base_digest != self.list_digest.get() || batch.changes.is_empty() {
+            return;
+        }
+        if self.endpoints.borrow().digest_after(&batch.changes) != summary.digest {
+            spdlog::warn!(
+                "endpoints: changes={} position={} outdated=true source=peer",
+                batch.changes.len(),
+                summary.position
+            );
+            return;
         }
+        self.apply_peer_changes(batch.changes, summary.position, "peer");
     }
 
     /// Applies changes from a peer, which must be relative to the current list.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -98,7 +98,7 @@
         }
     }
     if !read.is_snapshot {
-        gateway.apply_changes(changes, read.position);
+        gateway.apply_changes(changes, read.position, read.is_complete);
         return;
     }
     let listed = changes.into_iter().filter_map(|it| it.into_endpoint()).collect();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -272,7 +272,7 @@
         }
         if summary.digest == self.list_digest.get() {
             self.confirm_list(summary.list_age_ms);
-            self.endpoints.borrow_mut().advance_to(summary.position);
+            self.endpoints.borrow_mut().confirm_at(summary.position);
         }
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -70,7 +70,9 @@
 /// next heartbeats confirm the list.
 pub(crate) async fn send_changes(gateway: &Gateway) {
     let Some(socket) = gateway.peer_socket.get() else { return };
-    let batch = std::mem::take(&mut *gateway.unsent_changes.borrow_mut());
+    let mut batch = std::mem::take(&mut *gateway.unsent_changes.borrow_mut());
+    // The list may have been replaced by a peer's since.
+    batch.retain_if_current(gateway.list_digest.get());
     if batch.changes.is_empty() && !gateway.has_unsent_summary.take() {
         return;
     }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -78,6 +78,13 @@
             self.changes.clear();
         }
     }
+
+    /// Empties the batch unless it leads to the list with `digest`.
+    pub(crate) fn retain_if_current(&mut self, digest: u64) {
+        if self.end_digest != digest {
+            self.changes.clear();
+        }
+    }
 }
 
 /// A datagram between gateways.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -179,9 +179,6 @@
 
 fn run_maintenance(gateway: &Rc<Gateway>) {
     let now = gateway.now();
-    // Without changes, this applies only the deferred removals that are due.
-    let position = gateway.endpoints.borrow().position();
-    gateway.apply_changes(Vec::new(), position);
     permits::run_maintenance(gateway);
     log_reach(gateway);
     gateway.forward_table.borrow_mut().close_expired();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -157,7 +157,7 @@
         ListUpdate::Changes(_) if gateway.state_summary().digest != base_digest => return,
         ListUpdate::Changes(changes) => {
             gateway.apply_peer_changes(changes, response.position, &source);
-            gateway.endpoints.borrow_mut().advance_to(response.position);
+            gateway.endpoints.borrow_mut().confirm_at(response.position);
         }
         ListUpdate::Full(list) => gateway.replace_from_peer(list, response.position, &source),
     }
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -52,8 +52,10 @@
 #[derive(Debug, Default)]
 pub struct Endpoints {
     entries: HashMap<Name, Endpoint>,
-    /// Entries whose removal is deferred, with the time at which it was read.
-    deferred_removals: HashMap<Name, Millis>,
+    /// Entries whose removal was read, but is deferred.
+    deferred_removals: HashSet<Name>,
+    /// Position up to which this gateway has itself read the list.
+    read_position: Position,
     list_unavailable: bool,
     list_was_read: bool,
     /// End of the last outage in which entries of live endpoints may have expired.
@@ -79,6 +81,27 @@
         }
     }
 
+    /// Applies the changes that one read of the list has returned, up to `position`;
+    /// returns those that have changed the set.
+    ///
+    /// `is_complete` says that the list ended there. Only then are deferred removals that
+    /// are due completed, since later records may list the entries again.
+    pub fn apply_read(
+        &mut self,
+        changes: Vec<Change>,
+        position: Position,
+        is_complete: bool,
+        now: Millis,
+    ) -> Vec<Change> {
+        let mut applied: Vec<Change> =
+            changes.into_iter().filter(|it| self.apply(it.clone(), now)).collect();
+        if is_complete {
+            applied.extend(self.expire(now).into_iter().map(Change::Remove));
+        }
+        self.advance_to(position);
+        applied
+    }
+
     /// Replaces the whole list with `entries`; returns the changes made.
     pub fn replace(&mut self, entries: Vec<Endpoint>, now: Millis) -> Vec<Change> {
         let present: HashSet<&Name> = entries.iter().map(|it| &it.id).collect();
@@ -183,12 +206,36 @@
         self.position
     }
 
-    /// Advances the list to `position`, as read or as reported by a gateway with
-    /// the same list.
+    /// Returns the digest that the list would have after `changes`.
+    pub fn digest_after(&self, changes: &[Change]) -> u64 {
+        let mut changed: HashMap<&Name, u64> = HashMap::new();
+        for change in changes {
+            match change {
+                Change::Upsert(it) => changed.insert(&it.id, entry_digest(it)),
+                Change::Remove(id) => changed.insert(id, 0),
+            };
+        }
+        let before = |id: &Name| self.entries.get(id).map_or(0, entry_digest);
+        changed.iter().fold(self.digest(), |sum, (id, after)| sum ^ before(id) ^ after)
+    }
+
+    /// Advances the list to `position`, up to which it was read.
     ///
-    /// The position does not advance while removals are deferred: the gateway
-    /// must itself read the records that list those entries again.
+    /// The position does not advance while removals are deferred, so that the list at one
+    /// position is the same at all gateways.
     pub fn advance_to(&mut self, position: Position) {
+        self.read_position = self.read_position.max(position);
+        if self.deferred_removals.is_empty() {
+            self.position = self.position.max(position);
+        }
+    }
+
+    /// Records that the list at `position` is this one, as a gateway with the same list has
+    /// reported: entries whose removal was read before that position are listed again.
+    pub fn confirm_at(&mut self, position: Position) {
+        if position >= self.read_position {
+            self.deferred_removals.clear();
+        }
         if self.deferred_removals.is_empty() {
             self.position = self.position.max(position);
         }
@@ -223,7 +270,7 @@
         if self.in_grace_period(now) {
             return Vec::new();
         }
-        let expired: Vec<Name> = self.deferred_removals.keys().cloned().collect();
+        let expired: Vec<Name> = self.deferred_removals.iter().cloned().collect();
         for id in &expired {
             self.remove(id, now);
         }
@@ -250,7 +297,7 @@
             return false;
         };
         if endpoint.state == EndpointState::Ready && self.in_grace_period(now) {
-            self.deferred_removals.entry(id.clone()).or_insert(now);
+            self.deferred_removals.insert(id.clone());
             return false;
         }
         self.remove(id, now);
