Read only the newest configuration while several versions are due

The store's reads share a bandwidth; from 30.5 s no read of the endpoint list got a response, also those of the two gateways that read it for all, so that nobody learned of an endpoint that had left at 29.9 s.

A gateway now reads the newest version alone while several are due, bounds a read by the size of two versions, and does not read the records of versions that it has from a peer. Single versions take one call as before.

Ruled out: the news went lost between gateways (no reader had it), the cut of gateways (it had ended), the burst.

--- a/crates/gateway/src/cursor.rs
+++ b/crates/gateway/src/cursor.rs
@@ -15,6 +15,8 @@
 
 /// Timeout for a call that does not wait for new records.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum size of a read that continues from a position, in KB.
+const MAX_READ_KB: usize = 1_024;
 /// Delay before reading a snapshot after the cursor's records have expired, so
 /// that an inconsistent store is not called in a tight loop.
 const EXPIRED_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -28,6 +30,8 @@
     topic: Topic,
     /// Position to read from, or `None` to read a snapshot.
     pub(crate) next: Option<Position>,
+    /// Maximum size of a read that continues from there, in KB.
+    pub(crate) max_kb: usize,
     /// The pages read so far of a snapshot that takes several calls.
     partial: Option<Page>,
     backoff: Duration,
@@ -37,7 +41,14 @@
 impl Cursor {
     /// Creates a cursor that starts with a snapshot.
     pub(crate) fn new(topic: Topic) -> Cursor {
-        Cursor { topic, next: None, partial: None, backoff: MIN_BACKOFF, is_disconnected: false }
+        Cursor {
+            topic,
+            next: None,
+            max_kb: MAX_READ_KB,
+            partial: None,
+            backoff: MIN_BACKOFF,
+            is_disconnected: false,
+        }
     }
 
     /// Reads the records after the cursor, or a snapshot if there is no
@@ -55,7 +66,7 @@
         let started = gateway.now();
         let mut continued = None;
         if let Some(from) = self.next {
-            let call = gateway.store.read(self.topic, from.offset, wait);
+            let call = gateway.store.read(self.topic, from.offset, self.max_kb, wait);
             let page = self.call(gateway, wait + call_timeout, call).await?;
             if page.era.is_none_or(|era| era == from.era) {
                 continued = Some(page);
@@ -80,7 +91,8 @@
             false => gateway.now(),
         };
         let is_complete = page.next >= page.end;
-        Ok(Read { records: page.records, position, is_snapshot, is_complete, current_at })
+        let Page { records, bytes, .. } = page;
+        Ok(Read { records, bytes, position, is_snapshot, is_complete, current_at })
     }
 
     /// Reads the newest record of each key, in as many calls as it takes. After
@@ -150,6 +162,8 @@
 /// The result of one read of a topic.
 pub(crate) struct Read {
     pub(crate) records: Vec<Record>,
+    /// Size of the records, in bytes.
+    pub(crate) bytes: usize,
     /// Position after these records.
     pub(crate) position: Position,
     /// Whether the records are the newest ones of all keys.
--- a/crates/gateway/src/follow_config.rs
+++ b/crates/gateway/src/follow_config.rs
@@ -7,6 +7,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use mimosaledge_policy::version_follower::{NextRead, VersionFollower, VersionsRead};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
@@ -42,6 +43,7 @@
 /// Reads the configuration and its changes until the gateway exits.
 pub(crate) async fn follow_config(gateway: Rc<Gateway>) {
     let mut cursor = Cursor::new(Topic::Config);
+    let mut follower = VersionFollower::default();
     let mut era = gateway.era.subscribe();
     let mut next_read = Instant::now();
     loop {
@@ -61,7 +63,7 @@
                 }
                 continue;
             }
-            read = poll(next_read, &gateway, &mut cursor) => read,
+            read = poll(next_read, &gateway, &mut follower, &mut cursor) => read,
         };
         match read {
             Some(Ok(read)) => {
@@ -81,6 +83,26 @@
     }
 }
 
+/// Returns the latest version that this gateway or one of its peers has.
+fn known_version(gateway: &Gateway) -> u64 {
+    let own = gateway.config_version();
+    gateway.peers.borrow().latest_version(gateway.now()).map_or(own, |it| it.max(own))
+}
+
+fn versions_of(read: &Read) -> VersionsRead {
+    let version = |it: &Record| match it {
+        Record::Config(config) => Some(config.version),
+        _ => None,
+    };
+    let versions = || read.records.iter().filter_map(version);
+    VersionsRead {
+        count: versions().count(),
+        last: versions().next_back().unwrap_or_default(),
+        bytes: read.bytes,
+        is_complete: read.is_complete,
+    }
+}
+
 fn apply(gateway: &Gateway, read: Read) {
     if read.is_complete {
         gateway.confirm_config(read.current_at);
@@ -95,8 +117,33 @@
 
 /// Reads the next versions, at `time` at the earliest. Returns `None` if the call was given
 /// up because nothing confirms that it is not lost.
-async fn poll(time: Instant, gateway: &Gateway, cursor: &mut Cursor) -> Option<Result<Read>> {
+async fn poll(
+    time: Instant,
+    gateway: &Gateway,
+    follower: &mut VersionFollower,
+    cursor: &mut Cursor,
+) -> Option<Result<Read>> {
     sleep_until(time).await;
+    let known = known_version(gateway);
+    let next_read = follower.next_read(known);
+    let read = match next_read {
+        NextRead::Following { max_kb } => {
+            cursor.max_kb = max_kb;
+            follow_versions(gateway, cursor).await?
+        }
+        NextRead::Newest => {
+            cursor.next = None;
+            cursor.read(gateway, Duration::ZERO, CALL_TIMEOUT).await
+        }
+    };
+    if let Ok(read) = &read {
+        follower.record(next_read, versions_of(read), known);
+    }
+    Some(read)
+}
+
+/// Reads the versions after the cursor, or the newest at first; see [`poll`].
+async fn follow_versions(gateway: &Gateway, cursor: &mut Cursor) -> Option<Result<Read>> {
     if cursor.is_disconnected {
         return Some(cursor.read(gateway, Duration::ZERO, CALL_TIMEOUT).await);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -156,6 +156,11 @@
         loads.set_peer_outcomes(self.live_peers(now).flat_map(|(_, it)| &it.outcomes));
     }
 
+    /// Returns the latest version of the configuration that a live gateway has.
+    pub(crate) fn latest_version(&self, now: Millis) -> Option<u64> {
+        self.live_peers(now).map(|(_, it)| it.summary.version).max()
+    }
+
     /// Returns a live gateway with a newer configuration than `own`, or, if
     /// `include_list` is set, with a different and newer endpoint list.
     ///
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -56,6 +56,8 @@
     pub next: u64,
     /// The offset at which the topic ended when the page was read.
     pub end: u64,
+    /// Size of the records, in bytes.
+    pub bytes: usize,
     /// The store's era, which rises each time it is restored from an older copy,
     /// or `None` if the store does not report it.
     pub era: Option<u64>,
@@ -72,7 +74,12 @@
     /// Both pages must be of the same era.
     pub(crate) fn append(mut self, page: Page) -> Page {
         self.records.extend(page.records);
-        Page { records: self.records, next: self.next.min(page.next), ..page }
+        Page {
+            records: self.records,
+            next: self.next.min(page.next),
+            bytes: self.bytes + page.bytes,
+            ..page
+        }
     }
 }
 
@@ -86,14 +93,20 @@
     /// Returns an error if the call fails.
     fn newest(&self, topic: Topic, after: Option<Name>) -> LocalBoxFuture<'_, Result<Page>>;
 
-    /// Reads records from the offset `from`; waits up to `wait` for the first
-    /// one.
+    /// Reads records from the offset `from`, at most `max_kb` KB of them; waits up to
+    /// `wait` for the first one.
     ///
     /// # Errors
     ///
     /// Returns an error if the call fails, or if the records have expired; see
     /// [`crate::Error::is_expired`].
-    fn read(&self, topic: Topic, from: u64, wait: Duration) -> LocalBoxFuture<'_, Result<Page>>;
+    fn read(
+        &self,
+        topic: Topic,
+        from: u64,
+        max_kb: usize,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Page>>;
 
     /// Writes this gateway's entry; returns the store's era, or `None` if the store
     /// does not report it.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`issuers`] | choice of the gateway that keeps each of these limits |
 //! | [`health`] | the health of an endpoint |
 //! | [`crashing_parts`] | detection of prompt parts that crash engines |
+//! | [`version_follower`] | reading the versions of the configuration |
 //! | [`settings`] | settings of these policies |
 //! | [`events`] | splitting of event streams |
 
@@ -47,6 +48,7 @@
 pub mod settings;
 mod sound_parts;
 pub mod stream_origins;
+pub mod version_follower;
 
 pub use crate::{
     config::FleetConfig,
