Treat a stream that completes no event as silent

Here it ended at its deadline, but a resumable one was not continued elsewhere, since each byte counted as progress. Progress is now a complete event. The new test failed before (3 of 8 events, then the deadline); streams that may not be resumed still end at their deadline, and sound ones are waited for as before (silent_endpoints).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -97,14 +97,52 @@
     retry_state: RetryState,
     /// Number of chunks sent to the client.
     chunks: u32,
-    /// When the last data arrived.
-    last_data: Millis,
-    /// Longest wait for data after the first chunk, in milliseconds.
+    /// When the last events arrived.
+    last_events: Millis,
+    /// Longest wait for events after the first chunk, in milliseconds.
     max_gap_ms: u64,
     /// Whether the outcome of the stream has been logged.
     finished: bool,
 }
 
+/// What an endpoint has sent of a stream.
+enum Arrival {
+    /// Complete events.
+    Events(Bytes),
+    /// The end, after a complete event.
+    End,
+    /// The end, inside an event.
+    Cut,
+    /// An event that cannot follow the last one.
+    Invalid,
+    /// The connection was lost.
+    Broken(hyper::Error),
+}
+
+impl Arrival {
+    fn is_success(&self) -> bool {
+        matches!(self, Arrival::Events(_) | Arrival::End)
+    }
+}
+
+/// Reads until events are complete, or until the stream ends.
+async fn next_arrival(body: &mut Incoming, splitter: &mut EventSplitter) -> Arrival {
+    let mut events = Vec::new();
+    while events.is_empty() {
+        let frame = match body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(err)) => return Arrival::Broken(err),
+            None if splitter.is_at_boundary() => return Arrival::End,
+            None => return Arrival::Cut,
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        if splitter.push(&data, &mut events).is_err() {
+            return Arrival::Invalid;
+        }
+    }
+    Arrival::Events(events.into())
+}
+
 /// Returns a response that forwards the stream that `open` begins.
 pub(crate) fn start(
     gateway: &Rc<Gateway>,
@@ -121,7 +159,7 @@
         upstream: Upstream::from_open(open),
         retry_state,
         chunks: 0,
-        last_data: gateway.now(),
+        last_events: gateway.now(),
         max_gap_ms: 0,
         finished: false,
     };
@@ -143,28 +181,21 @@
     ///
     /// Returns an error if the stream failed and could not be resumed.
     async fn next_chunk(&mut self) -> Option<Result<Bytes, Aborted>> {
-        let mut out = Vec::new();
         loop {
             let waiting_since = self.gateway.now();
-            let (interruption, replacement) = match self.wait_for_frame().await {
-                Waited::Received(Some(Ok(frame)), _) => {
+            let (interruption, replacement) = match self.wait_for_events().await {
+                Waited::Received(Arrival::Events(events), _) => {
                     self.record_gap(waiting_since);
-                    let Ok(data) = frame.into_data() else { continue };
-                    match self.splitter.push(&data, &mut out) {
-                        Ok(()) if out.is_empty() => continue,
-                        Ok(()) => {
-                            self.record_chunk();
-                            return Some(Ok(Bytes::from(out)));
-                        }
-                        Err(_) => (Interruption::InvalidEvent, None),
-                    }
+                    self.record_chunk();
+                    return Some(Ok(events));
                 }
-                Waited::Received(None, _) if self.splitter.is_at_boundary() => {
+                Waited::Received(Arrival::End, _) => {
                     self.finish();
                     return None;
                 }
-                Waited::Received(None, next) => (Interruption::EndedInsideEvent, next),
-                Waited::Received(Some(Err(err)), next) => {
+                Waited::Received(Arrival::Invalid, next) => (Interruption::InvalidEvent, next),
+                Waited::Received(Arrival::Cut, next) => (Interruption::EndedInsideEvent, next),
+                Waited::Received(Arrival::Broken(err), next) => {
                     self.log_broken_connection(&err);
                     (Interruption::ConnectionBroken, next)
                 }
@@ -186,10 +217,10 @@
         }
     }
 
-    /// Waits for the next data, and gives up a silent endpoint for another one.
-    async fn wait_for_frame(&mut self) -> Waited<Option<hyper::Result<Frame<Bytes>>>> {
+    /// Waits for the next complete events, and gives up a silent endpoint for another one.
+    /// One that sends bytes but completes no event is silent, too.
+    async fn wait_for_events(&mut self) -> Waited<Arrival> {
         let patience_ms = self.gap_timeout_ms(self.gateway.now());
-        let at_boundary = self.splitter.is_at_boundary();
         let waiting = Waiting {
             gateway: &self.gateway,
             context: &self.context,
@@ -199,14 +230,11 @@
             progress: Progress::Started,
             patience: Duration::from_millis(patience_ms),
         };
-        let is_success = |frame: &Option<hyper::Result<_>>| match frame {
-            Some(frame) => frame.is_ok(),
-            None => at_boundary,
-        };
-        waiting.run(self.upstream.body.frame(), is_success).await
+        let arrival = next_arrival(&mut self.upstream.body, &mut self.splitter);
+        waiting.run(arrival, Arrival::is_success).await
     }
 
-    /// Returns the time without data after which the endpoint counts as silent, in
+    /// Returns the time without events after which the endpoint counts as silent, in
     /// milliseconds.
     fn gap_timeout_ms(&self, now: Millis) -> u64 {
         let remaining_ms = self.context.remaining_ms(now);
@@ -231,13 +259,13 @@
         }
     }
 
-    /// Returns the time since the last data arrived, in milliseconds.
+    /// Returns the time since the last events arrived, in milliseconds.
     fn silent_ms(&self) -> u64 {
-        self.gateway.now().since(self.last_data)
+        self.gateway.now().since(self.last_events)
     }
 
     fn record_gap(&mut self, waiting_since: Millis) {
-        self.last_data = self.gateway.now();
+        self.last_events = self.gateway.now();
         if self.chunks > 0 {
             self.max_gap_ms = self.max_gap_ms.max(self.gateway.now().since(waiting_since));
         }
