Reject a response without attempt ID on a connection that was used before

An operators' report: a second copy of an answer came late, on a connection in use again, and the next caller got it. On a connection that has carried a response before, a success must now echo the ID; on a new one nothing changes, so that endpoints that echo none are served.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -130,7 +130,7 @@
     handle.record_notices(&metadata, now);
     permits::record_limits(gateway, handle, &metadata);
     connection.set_idle_timeout(metadata.idle_timeout_ms);
-    if metadata.attempt_id.as_ref().is_some_and(|it| *it != context.metadata.attempt_id) {
+    if !is_own_response(context, &connection, &head, &metadata) {
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
         return Err(log_failure(
             gateway,
@@ -159,6 +159,21 @@
     Ok(OpenResponse { in_flight, permit, received: now, connection, head, metadata, body })
 }
 
+/// Returns whether a response is that of the attempt.
+///
+/// A copy of an earlier response may arrive late, on a connection that is in use again.
+fn is_own_response(
+    context: &RequestContext,
+    connection: &Connection,
+    head: &response::Parts,
+    metadata: &ResponseMetadata,
+) -> bool {
+    match &metadata.attempt_id {
+        Some(id) => *id == context.metadata.attempt_id,
+        None => !connection.is_reused() || !head.status.is_success(),
+    }
+}
+
 fn build_request(
     gateway: &Gateway,
     context: &RequestContext,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -61,9 +61,17 @@
     task: AbortHandle,
     max_idle_ms: u64,
     idle_since: Millis,
+    /// Whether it has carried a response before.
+    is_reused: bool,
 }
 
 impl Connection {
+    /// Returns whether the connection has carried a response before, of which a copy may
+    /// arrive late.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Sets the idle timeout of the server, if it reported one.
     pub(crate) fn set_idle_timeout(&mut self, timeout_ms: Option<u64>) {
         if let Some(timeout_ms) = timeout_ms {
@@ -148,6 +156,7 @@
     /// completely.
     pub(crate) fn release(&self, mut connection: Connection) {
         connection.idle_since = self.clock.now();
+        connection.is_reused = true;
         self.idle.borrow_mut().push_back(connection);
     }
 
@@ -217,6 +226,7 @@
             task: task.abort_handle(),
             max_idle_ms: DEFAULT_MAX_IDLE_MS,
             idle_since,
+            is_reused: false,
         })
     }
 }
