Give up permissions that ran out while the process was paused

An operators' report: a process that was paused acted on a permission that had run out. Found by reading, two places: - A gateway that issues permits went on at once after a pause, beside the one that had taken over, until it heard of it: 0.9 s and more. It now denies while its maintenance is late, and waits for the time of a takeover afterwards. - A request whose connection was opening when the process was paused was sent with the permit and the remaining time of before. It is now built when the connection is open, and is not sent on a permit of over a second ago or past its deadline.

The second place has no test of its own: no seam lets a test pause the process there.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -103,8 +103,13 @@
     let Selected { handle, permit, grant } = selected;
     let handle = &handle;
     let in_flight = InFlight::new(handle.clone(), context.prefix, gateway.loads.clone());
-    let request = build_request(gateway, context, handle, last_event);
-    let sent = handle.pool.send_on(choice, request).await;
+    // The process may be paused while the connection is opened.
+    let build = || {
+        let now = gateway.now();
+        let is_allowed = permit.is_usable(now) && context.remaining_ms(now) > 0;
+        is_allowed.then(|| build_request(gateway, context, handle, last_event))
+    };
+    let sent = handle.pool.send_on(choice, build).await;
     let now = gateway.now();
     let (response, mut connection) = match sent {
         Ok(sent) => sent,
@@ -114,6 +119,10 @@
             handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
             return Err(log_failure(gateway, context, handle, AttemptError::Unsent, "unreachable"));
         }
+        Err(SendError::Expired) => {
+            gateway.retry_budget.borrow_mut().refund(&context.service, grant);
+            return Err(log_failure(gateway, context, handle, AttemptError::Unsent, "expired"));
+        }
         Err(SendError::ConnectionLost { idle_ms, io }) => {
             reach::start_check(gateway);
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -137,7 +137,7 @@
     let sent = timeout(remaining(gateway, context), pool.send(request)).await;
     let (response, connection) = match sent {
         Ok(Ok(sent)) => sent,
-        Ok(Err(SendError::Unreachable)) => return Err(ForwardError::NotRun),
+        Ok(Err(SendError::Unreachable | SendError::Expired)) => return Err(ForwardError::NotRun),
         Ok(Err(SendError::ConnectionLost { .. })) => return Err(ForwardError::Unknown),
         Err(_) => return Err(ForwardError::Timeout),
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -42,6 +42,10 @@
 /// configuration may be stale, in milliseconds.
 const CONFIG_STALE_MS: u64 = 2_500;
 
+/// Time between two maintenance runs that indicates a stall, in milliseconds; shorter than
+/// the time after which other gateways take over what this one does for all.
+pub(crate) const STALL_THRESHOLD_MS: u64 = 1_200;
+
 /// Time for which the crash of an endpoint counts against the requests that
 /// were in flight there, in milliseconds.
 const CRASH_RETENTION_MS: u64 = 120_000;
@@ -109,6 +113,8 @@
     pub(crate) peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Gateways whose datagrams could not be decoded.
     pub(crate) rejections: RefCell<Rejections>,
+    /// When the last maintenance began.
+    pub(crate) maintained_at: Cell<Millis>,
 }
 
 impl Gateway {
@@ -165,6 +171,7 @@
             history: RefCell::default(),
             peer_socket: OnceCell::new(),
             rejections: RefCell::default(),
+            maintained_at: Cell::new(clock.now()),
         }
     }
 
@@ -179,6 +186,12 @@
         }
     }
 
+    /// Returns whether the event loop was held up, as when the process was paused, and what it
+    /// believes of other gateways may be out of date.
+    pub(crate) fn is_stalled(&self) -> bool {
+        self.now().since(self.maintained_at.get()) >= STALL_THRESHOLD_MS
+    }
+
     /// Returns the current time.
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -52,6 +52,7 @@
         let (response, connection) = self.pool.send(request).await.map_err(|err| {
             Error::unreachable(match err {
                 SendError::Unreachable => "cannot connect",
+                SendError::Expired => "request expired",
                 SendError::ConnectionLost { .. } => "connection lost",
             })
         })?;
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -2,12 +2,19 @@
 
 use std::{cell::Cell, net::Ipv4Addr, rc::Rc};
 
+use mimosaledge_core::Millis;
 use mimosaledge_peer::Message;
 
 use crate::{datagrams, gateway::Gateway};
 
+/// Time within which a permit must be used, in milliseconds; by then, the endpoint expects
+/// requests that were permitted later.
+const MAX_UNUSED_MS: u64 = 1_000;
+
 /// A permit that is returned to its issuer when it is dropped.
 pub(crate) struct Permit {
+    /// When it was obtained, if the endpoint limits requests.
+    obtained: Option<Millis>,
     /// Who issued it, if it has to be returned.
     issued: Option<Issued>,
     was_refused: Cell<bool>,
@@ -21,9 +28,14 @@
 }
 
 impl Permit {
-    /// Creates a permit that need not be returned.
+    /// Creates the permit for an endpoint that needs none.
     pub(crate) fn free() -> Permit {
-        Permit { issued: None, was_refused: Cell::new(false) }
+        Permit { obtained: None, issued: None, was_refused: Cell::new(false) }
+    }
+
+    /// Creates a permit that need not be returned.
+    pub(crate) fn for_once(now: Millis) -> Permit {
+        Permit { obtained: Some(now), issued: None, was_refused: Cell::new(false) }
     }
 
     /// Creates the permit `number` that `issuer` has issued for `endpoint`.
@@ -34,7 +46,16 @@
         endpoint: u64,
     ) -> Permit {
         let issued = Issued { gateway: gateway.clone(), issuer, number, endpoint };
-        Permit { issued: Some(issued), was_refused: Cell::new(false) }
+        Permit {
+            obtained: Some(gateway.now()),
+            issued: Some(issued),
+            was_refused: Cell::new(false),
+        }
+    }
+
+    /// Returns whether the request may still be sent.
+    pub(crate) fn is_usable(&self, now: Millis) -> bool {
+        self.obtained.is_none_or(|at| now.since(at) <= MAX_UNUSED_MS)
     }
 
     /// Records that the endpoint has refused the request.
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -55,7 +55,7 @@
         gateway.metrics.permits.with_label_values(&["issued"]).inc();
         let is_returned = limits.max_refusals.is_some();
         let issued = || Permit::issued(gateway, issuer, number, handle.node());
-        return Some(if is_returned { issued() } else { Permit::free() });
+        return Some(if is_returned { issued() } else { Permit::for_once(gateway.now()) });
     };
     gateway.metrics.permits.with_label_values(&["denied"]).inc();
     spdlog::info!(
@@ -150,6 +150,9 @@
         return Decision::Issued;
     }
     let (node, now) = (handle.node(), gateway.now());
+    if gateway.is_stalled() {
+        return Decision::Denied(WRONG_ISSUER_RETRY_MS);
+    }
     let mut table = gateway.permit_table.borrow_mut();
     let Some(from) = table.issuers.own_start(node) else {
         return Decision::Denied(WRONG_ISSUER_RETRY_MS);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -38,6 +38,8 @@
 pub(crate) enum SendError {
     /// No connection could be established; the request was not sent.
     Unreachable,
+    /// The request was no longer allowed when the connection was open; it was not sent.
+    Expired,
     /// The connection was lost after the request may have been sent; `idle_ms`
     /// is the time for which the connection had been idle, in milliseconds, or
     /// `None` for a new connection, and `io` the I/O error, if it was one.
@@ -120,14 +122,15 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
-        self.send_on(ConnectionChoice::Any, request).await
+        self.send_on(ConnectionChoice::Any, || Some(request.clone())).await
     }
 
-    /// Does what [`Pool::send`] does, on the connection of this choice.
+    /// Does what [`Pool::send`] does, on the connection of this choice. The request is built
+    /// when the connection is open, and may then turn out to be no longer allowed.
     pub(crate) async fn send_on(
         &self,
         choice: ConnectionChoice,
-        mut request: Request<Full<Bytes>>,
+        build: impl Fn() -> Option<Request<Full<Bytes>>>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         loop {
             let idle = match choice {
@@ -138,10 +141,11 @@
                 Some((connection, idle_ms)) => (connection, Some(idle_ms)),
                 None => (self.connect().await?, None),
             };
+            let request = build().ok_or(SendError::Expired)?;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut err) => match err.take_message() {
-                    Some(unsent) if idle_ms.is_some() => request = unsent,
+                    Some(_) if idle_ms.is_some() => {}
                     Some(_) => return Err(SendError::Unreachable),
                     None => {
                         let io = io_error_kind(err.error());
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -30,9 +30,6 @@
 
 /// Interval between two runs of the maintenance tasks.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval between two runs of the maintenance tasks from which the process
-/// counts as stalled, in milliseconds.
-const STALL_THRESHOLD_MS: u64 = 1_200;
 /// Time for which a gateway that shuts down still accepts connections, so that
 /// clients with an older directory response are not refused.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
@@ -97,12 +94,11 @@
     spawn_local(follow::follow_endpoints(gateway.clone()));
     spawn_local(follow::follow_gateways(gateway.clone()));
     spawn_local(gossip::run(gateway.clone(), peer_socket));
-    let mut last_run = gateway.now();
     loop {
         tokio::select! {
             () = sleep(MAINTENANCE_INTERVAL) => {
-                handle_stall(&gateway, last_run);
-                last_run = gateway.now();
+                handle_stall(&gateway);
+                gateway.maintained_at.set(gateway.now());
                 run_maintenance(&gateway);
                 log.send_batch();
             }
@@ -163,14 +159,17 @@
     Ok(spawn_local(listener::accept(gateway.clone(), client_listener, Source::Client)))
 }
 
-/// Closes idle connections and restarts the long poll for the configuration
-/// after a stall, during which the servers may have closed the connections.
-fn handle_stall(gateway: &Gateway, last_run: mimosaledge_core::Millis) {
-    let pause_ms = gateway.now().since(last_run);
-    if pause_ms < STALL_THRESHOLD_MS {
+/// Gives up after a stall what may be out of date: idle connections, which the servers may
+/// have closed, the long poll for the configuration, and the right to issue permits, which
+/// other gateways may have taken over.
+fn handle_stall(gateway: &Gateway) {
+    if !gateway.is_stalled() {
         return;
     }
+    let now = gateway.now();
+    let pause_ms = now.since(gateway.maintained_at.get());
     spdlog::warn!("gateway: event loop stalled, pause_ms={pause_ms}");
+    gateway.permit_table.borrow_mut().issuers.restart(now);
     for handle in gateway.endpoint_table.borrow().handles() {
         handle.pool.clear();
     }
--- a/crates/policy/src/issuers.rs
+++ b/crates/policy/src/issuers.rs
@@ -4,7 +4,8 @@
 //! asks the first one. Views differ for a while after a gateway has joined or failed. A
 //! gateway therefore issues permits only if it is the first one in its own view, and only
 //! after it has been for [`TAKEOVER_MS`], in which its predecessor learns of it. It need not
-//! wait for a predecessor that has said that it is not ready, since that one has stopped.
+//! wait for a predecessor that has said that it is not ready, since that one has stopped. A
+//! gateway that was paused waits again: others may have taken over meanwhile.
 
 use std::{collections::HashMap, net::Ipv4Addr};
 
@@ -64,6 +65,15 @@
         }
     }
 
+    /// Lets this gateway wait before it issues permits again, after a pause in which others
+    /// may have taken over.
+    pub fn restart(&mut self, now: Millis) {
+        for assignment in self.assignments.values_mut() {
+            assignment.from = assignment.from.max(now + TAKEOVER_MS);
+        }
+        self.changed_at = now;
+    }
+
     /// Returns the gateway to ask for permits of `endpoint`.
     pub fn issuer(&mut self, endpoint: u64) -> Ipv4Addr {
         self.assign(endpoint).issuer
