Serve the connections that wait when a planned stop closes the listener

An operators' report: during a planned stop under load, requests that had just been accepted were cut off. Shown by a test with a gateway that is paused while it drains: 20 of 20 clients whose connections waited in the listener's queue were reset. Two causes: the listener was closed with its queue, and a connection that had been accepted but whose request was not read yet was closed as idle ("unexpected end of file" after the first fix).

The queue is now served when the listener closes, and a connection stays open for 100 ms for a request that has arrived. The listener for other gateways closes in the same way; before, it stayed open until the exit.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts and serves connections from clients, and from gateways that hand requests over.
 
-use std::{convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use hyper::{
     Request, Response,
@@ -14,7 +14,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
-    time,
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -26,6 +26,13 @@
 /// Delay after a failed accept, for example when the process has run out of
 /// file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time without a new connection after which the queue of a listener that closes is empty.
+const QUEUE_IDLE_TIME: Duration = Duration::from_millis(20);
+/// Time for which a connection stays open in a graceful shutdown for a request that has
+/// arrived and was not read yet.
+const ARRIVAL_TIME: Duration = Duration::from_millis(100);
+/// Maximum time for which connections are accepted from the queue of a listener that closes.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(200);
 /// Time after the idle timeout at which an idle connection is closed, so that a
 /// client that reuses it up to the timeout never races with the close.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
@@ -33,27 +40,47 @@
 const MIN_BUFFER_BYTES: usize = 8_192;
 
 /// Accepts and serves connections from clients, or from gateways that hand requests over,
-/// until the task is aborted.
+/// until a graceful shutdown closes the listener.
+///
+/// Connections that wait in its queue by then are accepted as well, since their clients may
+/// have sent requests, also if the process was paused and there are many.
 pub(crate) async fn accept(gateway: Rc<Gateway>, listener: TcpListener, source: Source) {
+    let mut closing = pin!(gateway.drain.wait_for_closing());
     loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                if source == Source::Gateway && !is_gateway(&gateway, from) {
-                    spdlog::warn!("listener: address={from} is no gateway, connection dropped");
-                    continue;
-                }
-                if let Err(err) = socket::set_options(&stream) {
-                    spdlog::warn!(
-                        "listener: cannot set socket options, connection dropped, cause={err}"
-                    );
-                    continue;
-                }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.as_mut() => break,
+        };
+        handle_accepted(&gateway, accepted, source).await;
+    }
+    let end = Instant::now() + MAX_QUEUE_TIME;
+    while Instant::now() < end
+        && let Ok(accepted) = timeout(QUEUE_IDLE_TIME, listener.accept()).await
+    {
+        handle_accepted(&gateway, accepted, source).await;
+    }
+}
+
+async fn handle_accepted(
+    gateway: &Rc<Gateway>,
+    accepted: io::Result<(TcpStream, SocketAddr)>,
+    source: Source,
+) {
+    match accepted {
+        Ok((_, from)) if source == Source::Gateway && !is_gateway(gateway, from) => {
+            spdlog::warn!("listener: address={from} is no gateway, connection dropped");
+        }
+        Ok((stream, _)) => match socket::set_options(&stream) {
+            Ok(()) => {
                 spawn_local(serve_connection(gateway.clone(), stream, source));
             }
-            Err(err) => {
-                spdlog::warn!("listener: cannot accept, cause={err}");
-                time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
+            Err(err) => spdlog::warn!(
+                "listener: cannot set socket options, connection dropped, cause={err}"
+            ),
+        },
+        Err(err) => {
+            spdlog::warn!("listener: cannot accept, cause={err}");
+            sleep(ACCEPT_RETRY_DELAY).await;
         }
     }
 }
@@ -66,7 +93,7 @@
 }
 
 /// Serves one connection; a graceful shutdown closes it after the request in
-/// flight.
+/// flight, which may not have been read yet.
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream, source: Source) {
     let _guard = gateway.drain.count_connection();
     let limits = gateway.routes.borrow().limits();
@@ -80,9 +107,12 @@
     tokio::select! {
         // A connection error affects only this client.
         _ = connection.as_mut() => return,
-        () = gateway.drain.wait_for_closing() => connection.as_mut().graceful_shutdown(),
+        () = gateway.drain.wait_for_closing() => {}
+    }
+    if timeout(ARRIVAL_TIME, connection.as_mut()).await.is_err() {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
     }
-    let _ = connection.await;
 }
 
 async fn handle_request(
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -209,10 +209,12 @@
     spdlog::info!("gateway: stopping connections={}", gateway.drain.connections());
     log.send_batch();
     sleep_until((started + DRAIN_DELAY).min(deadline)).await;
-    // A request accepted from now on could outlast the grace period. Clients
-    // whose connection is refused use another gateway.
-    accept_task.abort();
+    // A request accepted later could outlast the grace period. Clients whose
+    // connection is refused use another gateway.
     gateway.drain.enter(Phase::Closing);
+    if accept_task.await.is_err() {
+        spdlog::error!("gateway: listener failed");
+    }
     while gateway.drain.connections() > 0 && Instant::now() < deadline {
         sleep(CONNECTIONS_CHECK_INTERVAL).await;
     }
