--- /dev/null
+++ b/crates/gateway/src/arrival.rs
@@ -0,0 +1,45 @@
+//! What arrives of a stream from an endpoint.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use mimosaledge_policy::events::EventSplitter;
+
+/// What an endpoint has sent of a stream.
+pub(crate) enum Arrival {
+    /// Complete events.
+    Events(Bytes),
+    /// The end, after a complete event.
+    End,
+    /// The end, inside an event.
+    Cut,
+    /// An event that cannot follow the last one.
+    Invalid,
+    /// The connection was lost.
+    Broken(hyper::Error),
+}
+
+impl Arrival {
+    /// Reads until events are complete, or until the stream ends.
+    pub(crate) async fn read(body: &mut Incoming, splitter: &mut EventSplitter) -> Arrival {
+        let mut events = Vec::new();
+        while events.is_empty() {
+            let frame = match body.frame().await {
+                Some(Ok(frame)) => frame,
+                Some(Err(err)) => return Arrival::Broken(err),
+                None if splitter.is_at_boundary() => return Arrival::End,
+                None => return Arrival::Cut,
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            if splitter.push(&data, &mut events).is_err() {
+                return Arrival::Invalid;
+            }
+        }
+        Arrival::Events(events.into())
+    }
+
+    /// Returns whether the stream goes on or is complete.
+    pub(crate) fn is_success(&self) -> bool {
+        matches!(self, Arrival::Events(_) | Arrival::End)
+    }
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -21,7 +21,9 @@
 use crate::{
     datagrams::{self, Outgoing},
     gateway::Gateway,
-    origins, permits, quarantine, sync,
+    origins, permits, quarantine,
+    status::Status,
+    sync,
 };
 
 /// Maximum number of other gateways named in a heartbeat of a small fleet.
@@ -53,7 +55,7 @@
 pub(crate) async fn send_round(gateway: &Gateway, socket: &UdpSocket, round: u64) -> u64 {
     let now = gateway.now();
     let heartbeat = Outgoing::new(Message::Heartbeat(Box::new(build_heartbeat(gateway, now))));
-    let status = (gateway.is_ready(), gateway.is_cut_off());
+    let status = Status { ready: gateway.is_ready(), cut_off: gateway.is_cut_off() };
     let recipients = gateway.peers.borrow_mut().begin_round(round, status, heartbeat.len(), now);
     datagrams::send(gateway, socket, &heartbeat, &recipients).await;
     gateway.peers.borrow().round_interval_ms()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,7 @@
 //! | `permits`, `permit`, `permit_table`, `claims` | keep the limits of endpoints with the other gateways |
 //! | `endpoint_limits` | the limits that an endpoint has named |
 //! | `quarantine` | finds out what crashes endpoints, and refuses it |
-//! | `relay` | forwards a stream and resumes it at another endpoint |
+//! | `relay`, `arrival` | forwards a stream and resumes it at another endpoint |
 //! | `reach` | finds out that no endpoint is reachable |
 //! | `forward`, `forward_table` | hand requests over to a gateway that reaches endpoints |
 //! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
@@ -27,13 +27,14 @@
 //! | `unlisted_handles` | what is known of endpoints that are not listed for a time |
 //! | `origins` | finds the build that began a stream that a client resumes |
 //! | `follow_config`, `follow`, `cursor` | read the configuration and lists from the store |
-//! | `gossip`, `peers` | exchange heartbeats with the other gateways |
+//! | `gossip`, `peers`, `peer`, `status` | exchange heartbeats with the other gateways |
 //! | `datagrams` | sends messages to other gateways, of this build or another |
 //! | `sync` | fetches missing state from another gateway |
 //! | `gateway` | holds the state that these modules share |
 //! | `endpoint_list` | applies changes of the endpoint list to that state |
 //! | `run`, `drain` | startup, maintenance and graceful shutdown |
 
+mod arrival;
 mod attempt;
 mod attempts;
 mod body_buffer;
@@ -65,6 +66,7 @@
 mod log_sink;
 mod metrics;
 mod origins;
+mod peer;
 mod peers;
 mod permit;
 mod permit_table;
@@ -82,6 +84,7 @@
 mod settings;
 mod silence;
 mod socket;
+mod status;
 mod store;
 mod sync;
 mod unlisted_handles;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,16 +3,14 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use mimosaledge_core::{Millis, hash::hash64};
-use mimosaledge_peer::{
-    CrashReport, Heartbeat, Outcomes, RequestCount, StateSummary, SuspectReport, Version,
-};
+use mimosaledge_peer::{CrashReport, Heartbeat, StateSummary, SuspectReport, Version};
 use mimosaledge_policy::{
     crashing_parts::CrashSuspect,
     membership::{FailureReport, Membership, ring_position},
     stream_origins,
 };
 
-use crate::{loads::Loads, settings::Settings};
+use crate::{loads::Loads, peer::Peer, settings::Settings, status::Status};
 
 /// Time for which a crash report is sent in heartbeats, in milliseconds.
 const CRASH_GOSSIP_MS: u64 = 3_000;
@@ -22,20 +20,6 @@
 /// Maximum number of crash reports, suspects and sound parts each in one heartbeat.
 const MAX_CRASHES: usize = 24;
 
-/// The last state that another gateway has reported.
-#[derive(Debug, Default)]
-struct Peer {
-    ready: bool,
-    cut_off: bool,
-    /// Version of the protocol that it speaks.
-    version: Version,
-    summary: StateSummary,
-    /// When the last heartbeat arrived.
-    heard_at: Millis,
-    request_counts: Vec<RequestCount>,
-    outcomes: Vec<Outcomes>,
-}
-
 /// The other gateways.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -52,8 +36,8 @@
     sound_parts: Vec<(u64, Millis)>,
     /// Whether the next round must reach all peers, also in a large fleet.
     is_urgent: bool,
-    /// Whether this gateway was ready and whether it was cut off in the last round.
-    last_status: (bool, bool),
+    /// Status of this gateway in the last round.
+    last_status: Status,
     /// Whether the totals in [`Loads`] must be recomputed.
     has_stale_totals: bool,
     /// Earliest version that a live gateway spoke in the last round.
@@ -72,7 +56,7 @@
             suspects: Vec::new(),
             sound_parts: Vec::new(),
             is_urgent: false,
-            last_status: (false, false),
+            last_status: Status::default(),
             has_stale_totals: false,
             oldest_version: Version::CURRENT,
         };
@@ -116,12 +100,13 @@
 
     /// Iterates over the live gateways that accept requests.
     pub(crate) fn ready(&self, now: Millis) -> impl Iterator<Item = Ipv4Addr> {
-        self.live_peers(now).filter(|(_, it)| it.ready).map(|(address, _)| address)
+        self.live_peers(now).filter(|(_, it)| it.status.ready).map(|(address, _)| address)
     }
 
     /// Iterates over the live gateways that accept requests and reach endpoints.
     pub(crate) fn serving(&self, now: Millis) -> impl Iterator<Item = Ipv4Addr> {
-        let serving = self.live_peers(now).filter(|(_, it)| it.ready && !it.cut_off);
+        let is_serving = |it: &Peer| it.status.ready && !it.status.cut_off;
+        let serving = self.live_peers(now).filter(move |(_, it)| is_serving(it));
         serving.map(|(address, _)| address)
     }
 
@@ -159,14 +144,14 @@
         if !self.is_large() {
             return self.ready(now).filter(can_issue).collect();
         }
-        let may_be_ready = |it: &Ipv4Addr| self.peers.get(it).is_none_or(|peer| peer.ready);
+        let may_be_ready = |it: &Ipv4Addr| self.peers.get(it).is_none_or(|peer| peer.status.ready);
         self.membership.possibly_alive(now).filter(may_be_ready).filter(can_issue).collect()
     }
 
     /// Returns whether a live gateway has said that it does not accept requests.
     pub(crate) fn is_unready(&self, address: Ipv4Addr, now: Millis) -> bool {
         self.membership.is_alive(address, now)
-            && self.peers.get(&address).is_some_and(|it| !it.ready)
+            && self.peers.get(&address).is_some_and(|it| !it.status.ready)
     }
 
     /// Updates the totals in `loads` from the last heartbeats of live gateways,
@@ -292,8 +277,8 @@
             self.add(address, now);
         }
         let peer = self.peers.entry(from).or_default();
-        let before = (peer.ready, peer.cut_off, peer.version);
-        let has_changed = before != (heartbeat.ready, heartbeat.cut_off, version) || !was_alive;
+        let status = Status { ready: heartbeat.ready, cut_off: heartbeat.cut_off };
+        let has_changed = (peer.status, peer.version) != (status, version) || !was_alive;
         if has_changed {
             spdlog::info!(
                 "peer: address={from} ready={} cut_off={} version={} protocol={version}",
@@ -302,9 +287,8 @@
                 heartbeat.summary.version
             );
         }
-        let has_become_ready = heartbeat.ready && (!peer.ready || !was_alive);
-        peer.ready = heartbeat.ready;
-        peer.cut_off = heartbeat.cut_off;
+        let has_become_ready = status.ready && (!peer.status.ready || !was_alive);
+        peer.status = status;
         peer.version = version;
         peer.summary = heartbeat.summary;
         peer.heard_at = now;
@@ -314,12 +298,12 @@
         has_become_ready
     }
 
-    /// Starts a round; returns the recipients of a heartbeat of `bytes` of payload. `status`
-    /// says whether this gateway is ready and whether it reaches no endpoint.
+    /// Starts a round of a gateway with this status; returns the recipients of a heartbeat of
+    /// `bytes` of payload.
     pub(crate) fn begin_round(
         &mut self,
         round: u64,
-        status: (bool, bool),
+        status: Status,
         bytes: usize,
         now: Millis,
     ) -> Vec<Ipv4Addr> {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::StreamBody;
 use hyper::{
     Response,
     body::{Frame, Incoming},
@@ -18,6 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
+    arrival::Arrival,
     attempt::{self, Attempt, OpenResponse},
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
@@ -105,44 +106,6 @@
     finished: bool,
 }
 
-/// What an endpoint has sent of a stream.
-enum Arrival {
-    /// Complete events.
-    Events(Bytes),
-    /// The end, after a complete event.
-    End,
-    /// The end, inside an event.
-    Cut,
-    /// An event that cannot follow the last one.
-    Invalid,
-    /// The connection was lost.
-    Broken(hyper::Error),
-}
-
-impl Arrival {
-    fn is_success(&self) -> bool {
-        matches!(self, Arrival::Events(_) | Arrival::End)
-    }
-}
-
-/// Reads until events are complete, or until the stream ends.
-async fn next_arrival(body: &mut Incoming, splitter: &mut EventSplitter) -> Arrival {
-    let mut events = Vec::new();
-    while events.is_empty() {
-        let frame = match body.frame().await {
-            Some(Ok(frame)) => frame,
-            Some(Err(err)) => return Arrival::Broken(err),
-            None if splitter.is_at_boundary() => return Arrival::End,
-            None => return Arrival::Cut,
-        };
-        let Ok(data) = frame.into_data() else { continue };
-        if splitter.push(&data, &mut events).is_err() {
-            return Arrival::Invalid;
-        }
-    }
-    Arrival::Events(events.into())
-}
-
 /// Returns a response that forwards the stream that `open` begins.
 pub(crate) fn start(
     gateway: &Rc<Gateway>,
@@ -230,7 +193,7 @@
             progress: Progress::Started,
             patience: Duration::from_millis(patience_ms),
         };
-        let arrival = next_arrival(&mut self.upstream.body, &mut self.splitter);
+        let arrival = Arrival::read(&mut self.upstream.body, &mut self.splitter);
         waiting.run(arrival, Arrival::is_success).await
     }
 
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -15,7 +15,7 @@
 };
 
 /// The periodic report of one gateway.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Whether the gateway accepts requests.
     pub ready: bool,
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -8,8 +8,8 @@
 
 use mimosaledge_core::{Millis, hash::hash32};
 use mimosaledge_peer::{
-    Datagram, Error, Heartbeat, Message, Rejections, StateSummary, SyncRequest, SyncResponse,
-    Version, datagram, sync,
+    Datagram, Error, Heartbeat, Message, Rejections, SyncRequest, SyncResponse, Version, datagram,
+    sync,
 };
 use mimosaledge_policy::membership::FailureReport;
 use proptest::prelude::*;
@@ -131,20 +131,12 @@
 fn ambiguous_heartbeat() -> Vec<u8> {
     let heartbeat = Heartbeat {
         ready: true,
-        cut_off: false,
-        summary: StateSummary::default(),
-        request_counts: Vec::new(),
-        samples: Vec::new(),
-        outcomes: Vec::new(),
-        limits: Vec::new(),
-        crashes: Vec::new(),
-        suspects: Vec::new(),
         sound_parts: vec![900, 901, 902],
-        known_peers: Vec::new(),
         failure_report: FailureReport {
             suspected: vec![Ipv4Addr::new(127, 0, 0, 9)],
             dead: vec![Ipv4Addr::new(127, 0, 0, 10)],
         },
+        ..Heartbeat::default()
     };
     let message = Message::Heartbeat(Box::new(heartbeat));
     postcard::to_stdvec(&message).unwrap()
