--- a/crates/peer/src/change_batch.rs
+++ b/crates/peer/src/change_batch.rs
@@ -21,8 +21,8 @@
 
 impl ChangeBatch {
     /// Appends changes that lead from one digest to another; starts a new batch
-    /// if they do not continue this one. A batch of more than
-    /// [`MAX_BATCH_CHANGES`] is emptied.
+    /// if they do not continue this one. A batch that is too
+    /// large for a datagram is emptied.
     pub fn add(&mut self, base_digest: u64, end_digest: u64, changes: Vec<Change>) {
         if self.changes.is_empty() || self.end_digest != base_digest {
             *self = ChangeBatch { base_digest, changes, end_digest };
