Log by service and build what a gateway reaches, and whose request a line is

A request that was handed over and served had no `request` line where it arrived; at the other gateway its line looked like a client's; `reach` lines counted the endpoints of all services together.

Now: `request` lines say `forwarded=`, `peer=` and `cut_off=`; `reach` lines name the service or build; mimosaledge_cut_off_requests_total{status} counts what a gateway does for its own clients when it reaches no endpoint for their request. No change of behaviour.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -253,12 +253,13 @@
     );
     quarantine::clear(gateway, context, head.status.is_success());
     spdlog::info!(
-        "request: id={} route={} endpoint={} status={} bytes={} elapsed_ms={}",
+        "request: id={} route={} endpoint={} status={} bytes={} forwarded={} elapsed_ms={}",
         context.metadata.attempt_id,
         context.route().name,
         handle.id(),
         head.status.as_u16(),
         bytes.len(),
+        context.is_forwarded,
         now.since(context.arrived)
     );
     strip_hop_by_hop_headers(&mut head.headers);
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -9,7 +9,7 @@
 use mimosaledge_core::{Millis, Name, hash::hash64};
 use mimosaledge_peer::{EndpointLimits, LimitSample, LoadSample};
 use mimosaledge_policy::{
-    Endpoint, EndpointState, PolicySettings,
+    Endpoint, EndpointGroup, EndpointState, PolicySettings,
     concurrency::Capacity,
     health::{Health, Outcome, Tally},
     load::{self, MeanDuration, Report},
@@ -243,6 +243,12 @@
         self.is_ready() && self.is_reachable()
     }
 
+    /// Returns whether the endpoint belongs to a group.
+    pub(crate) fn is_in(&self, group: &EndpointGroup) -> bool {
+        let endpoint = self.endpoint.borrow();
+        endpoint.service == group.service && group.build.is_none_or(|it| it == endpoint.build_key())
+    }
+
     /// Returns whether the endpoint accepts new requests, as far as it has said.
     pub(crate) fn is_ready(&self) -> bool {
         self.endpoint.borrow().state == EndpointState::Ready && !self.is_leaving.get()
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -1,10 +1,15 @@
 //! The table of all listed endpoints, and endpoints as candidates for placement.
 
-use std::{cell::Cell, collections::HashMap, net::Ipv4Addr, rc::Rc};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, HashMap},
+    net::Ipv4Addr,
+    rc::Rc,
+};
 
 use mimosaledge_core::{Millis, Name};
 use mimosaledge_policy::{
-    Endpoint,
+    Endpoint, EndpointGroup, Reach,
     load::{self, Counts, MeanDuration},
     placement::Candidate,
 };
@@ -47,27 +52,12 @@
         .collect()
 }
 
-/// Numbers of endpoints.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) struct Reach {
-    /// Endpoints that accept requests.
-    pub(crate) ready: usize,
-    /// Those of them that this gateway reaches.
-    pub(crate) reachable: usize,
-}
-
-impl Reach {
-    fn count<'a>(handles: impl Iterator<Item = &'a Rc<EndpointHandle>>) -> Reach {
-        handles.filter(|it| it.is_ready()).fold(Reach::default(), |sum, it| Reach {
-            ready: sum.ready + 1,
-            reachable: sum.reachable + usize::from(it.is_reachable()),
-        })
-    }
-
-    /// Returns whether the gateway reaches none of the endpoints.
-    pub(crate) fn is_cut_off(self) -> bool {
-        self.ready > 0 && self.reachable == 0
+fn count_reach<'a>(handles: impl Iterator<Item = &'a Rc<EndpointHandle>>) -> Reach {
+    let mut reach = Reach::default();
+    for handle in handles.filter(|it| it.is_ready()) {
+        reach.add(handle.is_reachable());
     }
+    reach
 }
 
 /// The handles of all listed endpoints, with indexes for lookup.
@@ -144,12 +134,35 @@
 
     /// Counts the endpoints that accept requests, and those of them that this gateway reaches.
     pub(crate) fn count_ready(&self) -> Reach {
-        Reach::count(self.handles.values())
+        count_reach(self.handles.values())
+    }
+
+    /// Counts those of one group.
+    pub(crate) fn reach_of(&self, group: &EndpointGroup) -> Reach {
+        count_reach(self.of_service(&group.service).iter().filter(|it| it.is_in(group)))
     }
 
-    /// Counts those of one service.
-    pub(crate) fn reach_of_service(&self, service: &str) -> Reach {
-        Reach::count(self.of_service(service).iter())
+    /// Returns the groups of which this gateway reaches no endpoint: whole services, and
+    /// builds of services that it reaches otherwise.
+    pub(crate) fn unreached_groups(&self) -> BTreeMap<EndpointGroup, Reach> {
+        let mut unreached = BTreeMap::new();
+        for (service, handles) in &self.by_service {
+            let whole = EndpointGroup::of_service(service.clone());
+            let reach = self.reach_of(&whole);
+            if reach.is_cut_off() {
+                unreached.insert(whole, reach);
+                continue;
+            }
+            for handle in handles.iter().filter(|it| it.is_ready() && !it.is_reachable()) {
+                let build = Some(handle.endpoint.borrow().build_key());
+                let group = EndpointGroup { service: service.clone(), build };
+                let reach = self.reach_of(&group);
+                if reach.is_cut_off() {
+                    unreached.insert(group, reach);
+                }
+            }
+        }
+        unreached
     }
 
     /// Iterates over all endpoints.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -17,7 +17,7 @@
 };
 use mimosaledge_core::hash::hash64;
 use mimosaledge_net::server::{Aborted, ReplyBody, full_body};
-use mimosaledge_policy::sends::Sends;
+use mimosaledge_policy::{EndpointGroup, sends::Sends};
 use tokio::time::timeout;
 
 use crate::{
@@ -68,7 +68,7 @@
     let table = gateway.endpoint_table.borrow();
     !context.is_forwarded
         && context.remaining_ms(now) >= MIN_REMAINING_MS
-        && table.reach_of_service(&context.service).is_cut_off()
+        && table.reach_of(&EndpointGroup::of_service(context.service.clone())).is_cut_off()
         && !gateway.forward_table.borrow().is_paused(&context.service, now)
         && gateway.peers.borrow().handover_targets(now).next().is_some()
 }
@@ -91,6 +91,7 @@
         match send(gateway, context, *sends, peer).await {
             Ok(response) => {
                 log_outcome(gateway, context, *sends, peer, response.status().as_str());
+                log_response(gateway, context, peer, &response);
                 return Ok(response);
             }
             Err(error) => {
@@ -125,6 +126,23 @@
     );
 }
 
+/// Logs the end of the request as this gateway's client sees it; a stream that breaks later has
+/// a line of its own.
+fn log_response(
+    gateway: &Gateway,
+    context: &RequestContext,
+    peer: Ipv4Addr,
+    response: &Response<ReplyBody>,
+) {
+    spdlog::info!(
+        "request: id={} route={} peer={peer} status={} elapsed_ms={}",
+        context.metadata.attempt_id,
+        context.route().name,
+        response.status().as_u16(),
+        gateway.now().since(context.arrived)
+    );
+}
+
 /// Offers a request to one gateway.
 async fn send(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,13 +2,14 @@
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
 };
 
 use mimosaledge_core::{Millis, quarantine::Quarantine};
 use mimosaledge_peer::{ChangeBatch, Rejections, StateSummary};
 use mimosaledge_policy::{
-    FleetConfig, Position,
+    EndpointGroup, FleetConfig, Position, Reach,
     builds::Builds,
     config::RouteTable,
     crashing_parts::CrashingParts,
@@ -87,8 +88,8 @@
     pub(crate) forward_table: RefCell<ForwardTable>,
     /// When this gateway last checked which endpoints it reaches.
     pub(crate) reach_checked: Cell<Millis>,
-    /// Whether this gateway reaches no endpoint, as last logged.
-    pub(crate) was_cut_off: Cell<bool>,
+    /// Services and builds that this gateway reaches no endpoint of, as last logged.
+    pub(crate) unreached: RefCell<BTreeMap<EndpointGroup, Reach>>,
     pub(crate) loads: Rc<RefCell<Loads>>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) permit_table: RefCell<PermitTable>,
@@ -157,7 +158,7 @@
             origin_received: Notify::new(),
             forward_table: RefCell::default(),
             reach_checked: Cell::default(),
-            was_cut_off: Cell::new(false),
+            unreached: RefCell::default(),
             loads: Rc::default(),
             peers: RefCell::new(peers),
             permit_table: RefCell::new(permit_table),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
 pub(crate) struct Metrics {
     registry: Registry,
     pub(crate) requests: IntCounterVec,
+    pub(crate) cut_off_requests: IntCounterVec,
     pub(crate) first_byte: Histogram,
     pub(crate) failed_attempts: IntCounterVec,
     pub(crate) retries: IntCounter,
@@ -42,7 +43,17 @@
     pub(crate) fn new() -> Result<Metrics> {
         let registry = Registry::new();
         let requests = IntCounterVec::new(
-            Opts::new("mimosaledge_requests_total", "Clients' requests by HTTP status."),
+            Opts::new(
+                "mimosaledge_requests_total",
+                "Requests by HTTP status, those of other gateways included.",
+            ),
+            &["status"],
+        )?;
+        let cut_off_requests = IntCounterVec::new(
+            Opts::new(
+                "mimosaledge_cut_off_requests_total",
+                "Clients' requests for which this gateway reached no endpoint, by HTTP status.",
+            ),
             &["status"],
         )?;
         let first_byte = Histogram::with_opts(
@@ -96,6 +107,7 @@
             IntGauge::new("mimosaledge_config_version", "Version of the configuration in force.")?;
         let gateways = IntGauge::new("mimosaledge_gateways", "Gateways alive, this one included.")?;
         registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(cut_off_requests.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
         registry.register(Box::new(failed_attempts.clone()))?;
         registry.register(Box::new(retries.clone()))?;
@@ -110,6 +122,7 @@
         Ok(Metrics {
             registry,
             requests,
+            cut_off_requests,
             first_byte,
             failed_attempts,
             retries,
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future::join_all;
 use mimosaledge_core::hash::hash64;
-use mimosaledge_policy::health::Outcome;
+use mimosaledge_policy::{EndpointGroup, Reach, health::Outcome};
 use tokio::task::spawn_local;
 
 use crate::{endpoint_handle::EndpointHandle, gateway::Gateway};
@@ -41,6 +41,30 @@
     }
 }
 
+/// Logs which services and builds the gateway has lost all endpoints of, or regained one of.
+pub(crate) fn log_changes(gateway: &Gateway) {
+    let table = gateway.endpoint_table.borrow();
+    let unreached = table.unreached_groups();
+    let before = gateway.unreached.replace(unreached.clone());
+    for (group, reach) in unreached.iter().filter(|(group, _)| !before.contains_key(group)) {
+        log_group(gateway, group, *reach);
+    }
+    for group in before.keys().filter(|group| !unreached.contains_key(group)) {
+        log_group(gateway, group, table.reach_of(group));
+    }
+}
+
+fn log_group(gateway: &Gateway, group: &EndpointGroup, reach: Reach) {
+    let builds = gateway.builds.borrow();
+    spdlog::info!(
+        "reach: service={} build={:?} reachable={} ready={}",
+        group.service,
+        group.build.and_then(|it| builds.name(&group.service, it)),
+        reach.reachable,
+        reach.ready
+    );
+}
+
 /// Returns whether an endpoint that cannot be reached is one of many: no other one accepts a
 /// connection either, while another gateway reaches endpoints.
 pub(crate) async fn is_cut_off(gateway: &Gateway, unreachable: &EndpointHandle) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -365,7 +365,7 @@
     fn log(&self, outcome: &str, cause: &str) {
         spdlog::info!(
             "request: id={} route={} endpoint={} outcome={outcome} cause={cause:?} last_event={:?} \
-             pieces={} slowest_ms={} silent_ms={} closing={} config={} elapsed_ms={}",
+             pieces={} slowest_ms={} silent_ms={} closing={} forwarded={} config={} elapsed_ms={}",
             self.context.metadata.attempt_id,
             self.context.route().name,
             self.upstream.in_flight.handle().id(),
@@ -374,6 +374,7 @@
             self.max_gap_ms,
             self.silent_ms(),
             self.upstream.closing,
+            self.context.is_forwarded,
             self.gateway.config_version(),
             self.gateway.now().since(self.context.arrived)
         );
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -48,6 +48,7 @@
 struct CancelLog {
     gateway: Rc<Gateway>,
     attempt_id: Name,
+    source: Source,
     arrived: Millis,
     finished: bool,
 }
@@ -56,9 +57,10 @@
     fn drop(&mut self) {
         if !self.finished {
             spdlog::info!(
-                "request: id={} outcome=cancelled cause={:?} config={} elapsed_ms={}",
+                "request: id={} outcome=cancelled cause={:?} forwarded={} config={} elapsed_ms={}",
                 self.attempt_id,
                 self.gateway.drain.cancel_cause(),
+                self.source == Source::Gateway,
                 self.gateway.config_version(),
                 self.gateway.now().since(self.arrived)
             );
@@ -87,21 +89,27 @@
     let mut cancel_log = CancelLog {
         gateway: gateway.clone(),
         attempt_id: attempt_id.clone(),
+        source,
         arrived,
         finished: false,
     };
+    let mut is_cut_off = false;
     let result = match prepare(gateway, head, metadata, body, arrived, handover).await {
-        Ok(context) => attempts::run(gateway, Rc::new(context)).await,
+        Ok(context) => {
+            is_cut_off = gateway.endpoint_table.borrow().reach_of(&context.group()).is_cut_off();
+            attempts::run(gateway, Rc::new(context)).await
+        }
         Err(error) => Err(error),
     };
     cancel_log.finished = true;
     let response = result.unwrap_or_else(|error| {
         spdlog::info!(
-            "request: id={attempt_id} refused={:?} status={} retry_ms={:?} config={} \
-             config_age_ms={} elapsed_ms={}",
+            "request: id={attempt_id} refused={:?} status={} retry_ms={:?} cut_off={is_cut_off} \
+             forwarded={} config={} config_age_ms={} elapsed_ms={}",
             error.code,
             error.status(),
             error.retry_ms,
+            source == Source::Gateway,
             gateway.config_version(),
             gateway.config_age_ms(),
             gateway.now().since(arrived)
@@ -114,6 +122,9 @@
         response
     });
     gateway.metrics.requests.with_label_values(&[response.status().as_str()]).inc();
+    if is_cut_off && source == Source::Client {
+        gateway.metrics.cut_off_requests.with_label_values(&[response.status().as_str()]).inc();
+    }
     gateway.metrics.first_byte.observe(gateway.now().since(arrived) as f64 / 1_000.0);
     response
 }
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use mimosaledge_core::{Millis, Name};
-use mimosaledge_policy::{Route, config::AuthorizedRequest, permits::RequestSize, sends::Sends};
+use mimosaledge_policy::{
+    EndpointGroup, Route, config::AuthorizedRequest, permits::RequestSize, sends::Sends,
+};
 
 use crate::dialect::RequestMetadata;
 
@@ -43,6 +45,11 @@
         &self.authorized.route
     }
 
+    /// Returns the endpoints that may serve the request.
+    pub(crate) fn group(&self) -> EndpointGroup {
+        EndpointGroup { service: self.service.clone(), build: self.build }
+    }
+
     /// Returns the time until the deadline, in milliseconds.
     pub(crate) fn remaining_ms(&self, now: Millis) -> u64 {
         self.deadline.since(now)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,7 +20,7 @@
     gossip, listener,
     log_sink::LogSink,
     metrics::{self, Metrics},
-    permits,
+    permits, reach,
     request::Source,
     settings::Settings,
     socket,
@@ -179,7 +179,7 @@
 fn run_maintenance(gateway: &Rc<Gateway>) {
     let now = gateway.now();
     permits::run_maintenance(gateway);
-    log_reach(gateway);
+    reach::log_changes(gateway);
     gateway.forward_table.borrow_mut().close_expired();
     for handle in gateway.endpoint_table.borrow().handles() {
         handle.pool.close_expired();
@@ -190,14 +190,6 @@
     }
 }
 
-/// Logs that the gateway has lost all endpoints, or regained one.
-fn log_reach(gateway: &Gateway) {
-    let reach = gateway.endpoint_table.borrow().count_ready();
-    if gateway.was_cut_off.replace(reach.is_cut_off()) != reach.is_cut_off() {
-        spdlog::info!("reach: reachable={} ready={}", reach.reachable, reach.ready);
-    }
-}
-
 /// Shuts the gateway down gracefully: reports not ready, stops accepting
 /// connections after [`DRAIN_DELAY`], and waits until the open ones have closed
 /// or the grace period ends.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`concurrency`] | requests in flight at endpoints that must not have to refuse many |
 //! | [`issuers`] | choice of the gateway that keeps each of these limits |
 //! | [`health`] | the health of an endpoint |
+//! | [`endpoint_group`], [`reach`] | whether a gateway reaches a service, or one build of it |
 //! | [`crashing_parts`] | detection of prompt parts that crash engines |
 //! | [`version_follower`] | reading the versions of the configuration |
 //! | [`settings`] | settings of these policies |
@@ -28,6 +29,7 @@
 pub mod crashing_parts;
 mod departures;
 pub mod endpoint;
+pub mod endpoint_group;
 pub mod endpoints;
 mod error;
 pub mod events;
@@ -41,6 +43,7 @@
 pub mod placement;
 pub mod position;
 pub mod prefix_cache;
+pub mod reach;
 pub mod retry_budget;
 pub mod route;
 pub mod sends;
@@ -53,9 +56,11 @@
 pub use crate::{
     config::FleetConfig,
     endpoint::{Endpoint, EndpointState},
+    endpoint_group::EndpointGroup,
     error::{Error, Result},
     limits::Limits,
     position::Position,
+    reach::Reach,
     route::{RetryPolicy, Route, Target},
     service::Service,
     settings::PolicySettings,
