Tell the other gateways which services and builds are not reached

Callers of a gateway that had lost a service saw 503: their request was handed to a neighbour that lacked the same service and had said only that it reached something.

Cause: one bit for a whole gateway, asked about one service. Heartbeats now name the services, and the builds of services reached otherwise, that their sender reaches no endpoint of (5 bytes each after the message, none when all are reached), and requests are handed to gateways that reach their service. Earlier builds ignore the bytes; the layouts are frozen as before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -65,12 +65,12 @@
 /// endpoints of its service that accept requests, and another gateway may.
 pub(crate) fn is_due(gateway: &Gateway, context: &RequestContext) -> bool {
     let now = gateway.now();
-    let table = gateway.endpoint_table.borrow();
+    let group = EndpointGroup::of_service(context.service.clone());
     !context.is_forwarded
         && context.remaining_ms(now) >= MIN_REMAINING_MS
-        && table.reach_of(&EndpointGroup::of_service(context.service.clone())).is_cut_off()
+        && gateway.endpoint_table.borrow().reach_of(&group).is_cut_off()
         && !gateway.forward_table.borrow().is_paused(&context.service, now)
-        && gateway.peers.borrow().handover_targets(now).next().is_some()
+        && gateway.peers.borrow().handover_targets(&group, now).next().is_some()
 }
 
 /// Hands a request over to another gateway and returns its response.
@@ -83,7 +83,9 @@
     context: &Rc<RequestContext>,
     sends: &mut Sends,
 ) -> Result<Response<ReplyBody>, ForwardError> {
-    let mut peers: Vec<Ipv4Addr> = gateway.peers.borrow().handover_targets(gateway.now()).collect();
+    let group = EndpointGroup::of_service(context.service.clone());
+    let mut peers: Vec<Ipv4Addr> =
+        gateway.peers.borrow().handover_targets(&group, gateway.now()).collect();
     let hash = hash64(context.metadata.attempt_id.as_bytes());
     peers.sort_unstable_by_key(|it| hash64(&(hash ^ u64::from(it.to_bits())).to_le_bytes()));
     let mut last_error = ForwardError::NotRun;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,10 +16,12 @@
 
 use mimosaledge_core::Millis;
 use mimosaledge_peer::{Heartbeat, LoadSample, Message, Outcomes, Version, datagram};
+use mimosaledge_policy::EndpointGroup;
 use tokio::{net::UdpSocket, task::spawn_local, time};
 
 use crate::{
     datagrams::{self, Outgoing},
+    endpoint_table::EndpointTable,
     gateway::Gateway,
     origins, permits, quarantine,
     status::Status,
@@ -34,6 +36,8 @@
 const MAX_OUTCOMES: usize = 8;
 /// Maximum number of endpoints with limits in a heartbeat.
 const MAX_LIMITS: usize = 16;
+/// Maximum number of services and builds that a heartbeat names as unreached.
+const MAX_UNREACHED: usize = 16;
 /// Size of the receive buffer, which bounds the payload of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 /// Delay after a failure to receive.
@@ -111,9 +115,17 @@
         sound_parts: peers.sound_parts(),
         known_peers: peers.ready(now).take(if is_large { 1 } else { MAX_KNOWN_PEERS }).collect(),
         failure_report: peers.failure_report(now),
+        unreached: if gateway.is_cut_off() { Vec::new() } else { unreached_numbers(&table) },
     }
 }
 
+/// Returns the numbers of the groups that this gateway reaches no endpoint of, services first.
+fn unreached_numbers(table: &EndpointTable) -> Vec<u32> {
+    let unreached = table.unreached_groups();
+    let (services, builds): (Vec<_>, Vec<_>) = unreached.keys().partition(|it| it.build.is_none());
+    services.into_iter().chain(builds).take(MAX_UNREACHED).map(EndpointGroup::number).collect()
+}
+
 async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let is_syncing = Rc::new(Cell::new(false));
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -2,6 +2,7 @@
 
 use mimosaledge_core::Millis;
 use mimosaledge_peer::{Outcomes, RequestCount, StateSummary, Version};
+use mimosaledge_policy::EndpointGroup;
 
 use crate::status::Status;
 
@@ -9,6 +10,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peer {
     pub(crate) status: Status,
+    /// Numbers of the services and builds that it reaches no endpoint of.
+    pub(crate) unreached: Vec<u32>,
     /// Version of the protocol that it speaks.
     pub(crate) version: Version,
     pub(crate) summary: StateSummary,
@@ -17,3 +20,12 @@
     pub(crate) request_counts: Vec<RequestCount>,
     pub(crate) outcomes: Vec<Outcomes>,
 }
+
+impl Peer {
+    /// Returns whether the gateway reaches endpoints of a group, as far as it has said.
+    pub(crate) fn reaches(&self, group: &EndpointGroup) -> bool {
+        let whole = EndpointGroup::of_service(group.service.clone());
+        let is_unreached = |it: &EndpointGroup| self.unreached.contains(&it.number());
+        !self.status.cut_off && !is_unreached(&whole) && !is_unreached(group)
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 use mimosaledge_core::{Millis, hash::hash64};
 use mimosaledge_peer::{CrashReport, Heartbeat, StateSummary, SuspectReport, Version};
 use mimosaledge_policy::{
+    EndpointGroup,
     crashing_parts::CrashSuspect,
     membership::{FailureReport, Membership, ring_position},
     stream_origins,
@@ -110,10 +111,15 @@
         serving.map(|(address, _)| address)
     }
 
-    /// Iterates over the live gateways that this one may hand requests over to.
-    pub(crate) fn handover_targets(&self, now: Millis) -> impl Iterator<Item = Ipv4Addr> {
-        let accepts = |it: &Ipv4Addr| self.version_of(*it).accepts_handovers();
-        self.serving(now).filter(accepts)
+    /// Iterates over the live gateways that this one may hand requests for `group` over to.
+    pub(crate) fn handover_targets(
+        &self,
+        group: &EndpointGroup,
+        now: Millis,
+    ) -> impl Iterator<Item = Ipv4Addr> {
+        let accepts = |it: &Peer| it.version.accepts_handovers() && it.reaches(group);
+        let targets = self.live_peers(now).filter(move |(_, it)| it.status.ready && accepts(it));
+        targets.map(|(address, _)| address)
     }
 
     /// Returns the version of the protocol that a gateway speaks, or that of this build as
@@ -278,17 +284,22 @@
         }
         let peer = self.peers.entry(from).or_default();
         let status = Status { ready: heartbeat.ready, cut_off: heartbeat.cut_off };
-        let has_changed = (peer.status, peer.version) != (status, version) || !was_alive;
+        let has_changed = (peer.status, peer.version) != (status, version)
+            || peer.unreached != heartbeat.unreached
+            || !was_alive;
         if has_changed {
             spdlog::info!(
-                "peer: address={from} ready={} cut_off={} version={} protocol={version}",
+                "peer: address={from} ready={} cut_off={} unreached={} version={} \
+                 protocol={version}",
                 heartbeat.ready,
                 heartbeat.cut_off,
+                heartbeat.unreached.len(),
                 heartbeat.summary.version
             );
         }
         let has_become_ready = status.ready && (!peer.status.ready || !was_alive);
         peer.status = status;
+        peer.unreached = heartbeat.unreached;
         peer.version = version;
         peer.summary = heartbeat.summary;
         peer.heard_at = now;
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -68,7 +68,8 @@
 /// Returns whether an endpoint that cannot be reached is one of many: no other one accepts a
 /// connection either, while another gateway reaches endpoints.
 pub(crate) async fn is_cut_off(gateway: &Gateway, unreachable: &EndpointHandle) -> bool {
-    if gateway.peers.borrow().handover_targets(gateway.now()).next().is_none() {
+    let group = EndpointGroup::of_service(unreachable.endpoint.borrow().service.clone());
+    if gateway.peers.borrow().handover_targets(&group, gateway.now()).next().is_none() {
         return false;
     }
     let mut others = shuffled(gateway, |it| it.is_ready() && it.node() != unreachable.node());
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -37,7 +37,26 @@
         bytes.extend(postcard::to_stdvec(&old).map_err(Error::codec)?);
         return Ok(Some(bytes));
     }
-    frame::encode(message).map(Some)
+    frame::encode(message, &encode_extension(message)?).map(Some)
+}
+
+/// Encodes what follows the layout of a message.
+fn encode_extension(message: &Message) -> Result<Vec<u8>> {
+    match message {
+        Message::Heartbeat(heartbeat) if !heartbeat.unreached.is_empty() => {
+            postcard::to_stdvec(&heartbeat.unreached).map_err(Error::codec)
+        }
+        _ => Ok(Vec::new()),
+    }
+}
+
+/// Adds to a message what follows its layout; what a later version has put there instead is
+/// ignored.
+fn apply_extension(message: &mut Message, extension: &[u8]) {
+    if let Message::Heartbeat(heartbeat) = message {
+        heartbeat.unreached =
+            postcard::take_from_bytes(extension).map(|(it, _)| it).unwrap_or_default();
+    }
 }
 
 /// Decodes a datagram of any version; `sender` is the version that its sender has spoken
@@ -49,10 +68,13 @@
 /// message in two versions, of which the sender has spoken neither.
 pub fn decode(bytes: &[u8], sender: Option<Version>) -> Result<Datagram> {
     let message = match frame::decode(bytes) {
-        Ok(Frame { value, version: Some(version) }) => {
-            return Ok(Datagram { message: value, version });
+        Ok(Frame { value: mut message, extension, version: Some(version) }) => {
+            if version >= Version::REACH {
+                apply_extension(&mut message, extension);
+            }
+            return Ok(Datagram { message, version });
         }
-        Ok(Frame { value, version: None }) => Ok(value),
+        Ok(Frame { value, version: None, .. }) => Ok(value),
         Err(err) => Err(err),
     };
     let old = decode_old_heartbeat(bytes).map(|it| Datagram {
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -14,14 +14,17 @@
 const CHECKSUM_BYTES: usize = 4;
 
 /// A decoded value, and the footer if there is one.
-pub(crate) struct Frame<T> {
+pub(crate) struct Frame<'a, T> {
     pub(crate) value: T,
+    /// The bytes between value and footer.
+    pub(crate) extension: &'a [u8],
     pub(crate) version: Option<Version>,
 }
 
-/// Encodes `value` with a footer.
-pub(crate) fn encode(value: &impl Serialize) -> Result<Vec<u8>> {
+/// Encodes `value` with the bytes that follow it, if any, and a footer.
+pub(crate) fn encode(value: &impl Serialize, extension: &[u8]) -> Result<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(value).map_err(Error::codec)?;
+    bytes.extend_from_slice(extension);
     bytes.push(Version::CURRENT.number());
     let checksum = hash32(&bytes);
     bytes.extend(checksum.to_le_bytes());
@@ -29,13 +32,15 @@
 }
 
 /// Decodes a value, which a footer must follow unless nothing does.
-pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<Frame<T>> {
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<Frame<'_, T>> {
     let footer = split_footer(bytes);
     let body = footer.map_or(bytes, |(body, _)| body);
     match (postcard::take_from_bytes(body), footer) {
         // Bytes before the footer that are not known here belong to a later version.
-        (Ok((value, _)), Some((_, version))) => Ok(Frame { value, version: Some(version) }),
-        (Ok((value, [])), None) => Ok(Frame { value, version: None }),
+        (Ok((value, extension)), Some((_, version))) => {
+            Ok(Frame { value, extension, version: Some(version) })
+        }
+        (Ok((value, [])), None) => Ok(Frame { value, extension: &[], version: None }),
         (Err(_), Some((_, version))) => Err(Error::unknown(version)),
         (Ok(_) | Err(_), None) => Err(Error::malformed()),
     }
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -43,4 +43,9 @@
     /// Gateways that it suspects to have failed, and those recently marked as
     /// dead.
     pub failure_report: FailureReport,
+    /// Numbers of the services and builds that it reaches no endpoint of, unless it reaches
+    /// none at all; see [`EndpointGroup`](mimosaledge_policy::EndpointGroup). They follow the
+    /// message, so that they are no part of its layout.
+    #[serde(skip)]
+    pub unreached: Vec<u32>,
 }
--- a/crates/peer/src/old_heartbeat.rs
+++ b/crates/peer/src/old_heartbeat.rs
@@ -61,6 +61,7 @@
             sound_parts: it.sound_parts,
             known_peers: it.known_peers,
             failure_report: it.failure_report,
+            unreached: Vec::new(),
         }
     }
 }
--- a/crates/peer/src/sync.rs
+++ b/crates/peer/src/sync.rs
@@ -46,7 +46,7 @@
 ///
 /// Returns an error if it cannot be encoded.
 pub fn encode(message: &impl Serialize) -> Result<Vec<u8>> {
-    frame::encode(message)
+    frame::encode(message, &[])
 }
 
 /// Decodes a request or response.
--- a/crates/peer/src/version.rs
+++ b/crates/peer/src/version.rs
@@ -14,8 +14,11 @@
     pub const BEFORE_FOOTER: Version = Version(1);
     /// Datagrams with footer.
     pub const FOOTER: Version = Version(2);
+    /// Heartbeats that name the services and builds that the sender reaches no endpoint of, and
+    /// hand-overs that name the build of a stream.
+    pub const REACH: Version = Version(3);
     /// The version of this build.
-    pub const CURRENT: Version = Version::FOOTER;
+    pub const CURRENT: Version = Version::REACH;
 
     /// Returns the version with the number `number`, which may be unknown to this build.
     pub(crate) fn from_number(number: u8) -> Version {
@@ -37,6 +40,12 @@
     pub fn accepts_handovers(self) -> bool {
         self >= Version::BEFORE_FOOTER
     }
+
+    /// Returns whether a gateway of this version knows the build of a stream that is handed
+    /// over.
+    pub fn accepts_builds(self) -> bool {
+        self >= Version::REACH
+    }
 }
 
 impl Default for Version {
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -116,6 +116,35 @@
     }
 }
 
+/// Returns the sampled heartbeat of a gateway that reaches no endpoint of some groups.
+fn partly_reaching_heartbeat() -> Message {
+    let (_, sample) = samples::messages().remove(0);
+    let unreached = vec![0, 7, u32::MAX];
+    Message::Heartbeat(Box::new(Heartbeat { unreached, ..heartbeat_of(&sample).clone() }))
+}
+
+// Guards against gateways that do not tell each other which services they reach (RECOVER).
+#[test]
+fn heartbeat_names_the_services_that_its_sender_does_not_reach() {
+    let sent = partly_reaching_heartbeat();
+    let received = datagram::decode(&encode(&sent, Version::CURRENT), None).unwrap();
+    assert_eq!(received.message, sent);
+}
+
+#[test]
+fn earlier_builds_read_a_heartbeat_that_names_services() {
+    let (_, sample) = samples::messages().remove(0);
+    let sent = encode(&partly_reaching_heartbeat(), Version::BEFORE_FOOTER);
+    assert_eq!(decode_as_before::<Message>(&sent), as_received(&sample));
+    let old = encode(&partly_reaching_heartbeat(), Version::BEFORE_PERMITS);
+    assert_eq!(old, bytes_of(OLD_HEARTBEAT));
+    // What builds with a footer, but without the services, put before it is no service.
+    let mut bytes = recorded("heartbeat");
+    bytes.extend([1, 7]);
+    let received = datagram::decode(&with_footer(bytes, 2), None).unwrap();
+    assert_eq!(received.message, as_received(&sample));
+}
+
 #[test]
 fn later_version_may_put_more_bytes_before_the_footer() {
     for (name, message) in samples::messages() {
--- a/crates/peer/tests/samples/mod.rs
+++ b/crates/peer/tests/samples/mod.rs
@@ -103,6 +103,7 @@
         sound_parts: vec![901],
         known_peers: vec![address(2), address(3)],
         failure_report: FailureReport { suspected: vec![address(4)], dead: vec![address(5)] },
+        unreached: Vec::new(),
     }
 }
 
