Hand a request on to the next gateway if one reaches no endpoint either

Callers of a cut-off gateway saw 503 within 3 ms, and then all requests to that service were rejected at once for 0.5 s: the answer of a neighbour that reached no endpoint either went to the client, and stopped hand-overs to everybody.

Such a rejection now leads to the next gateway, up to four, and pauses that neighbour alone, for that service; one that cannot be connected to is paused for all. A gateway that finds all its endpoints unreachable while it serves a request that was handed over says so too (before: only if it knew it at once), also for a request that may have run elsewhere; the gateway that has sent it knows that.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -141,7 +141,9 @@
             Err(final_error(gateway, &context, &retry_state, last_error))
         }
         Ok(response) => Ok(response),
-        Err(ForwardError::NotRun) => Err(final_error(gateway, &context, &retry_state, last_error)),
+        Err(ForwardError::NotRun | ForwardError::NoEndpoint) => {
+            Err(final_error(gateway, &context, &retry_state, last_error))
+        }
         Err(error) => Err(forward_error(&context, error)),
     }
 }
@@ -155,7 +157,7 @@
 /// has not answered it.
 fn forward_error(context: &RequestContext, error: ForwardError) -> ErrorResponse {
     match error {
-        ForwardError::NotRun => {
+        ForwardError::NotRun | ForwardError::NoEndpoint => {
             ErrorResponse::with_retry_after(Code::NoEndpoint, retry_after_ms(context, 0))
         }
         ForwardError::Unknown => ErrorResponse::from_code(Code::Unknown),
@@ -278,13 +280,15 @@
     retry_state: &RetryState,
     last_error: AttemptError,
 ) -> ErrorResponse {
-    if retry_state.may_have_run() {
+    let is_untouched = !retry_state.has_sent(context);
+    // The gateway that has handed the request over knows what it has sent itself.
+    if retry_state.may_have_run() && !(context.is_forwarded && is_untouched) {
         let code = if last_error == AttemptError::Silent { Code::Timeout } else { Code::Unknown };
         return ErrorResponse::from_code(code);
     }
     let code = if context.remaining_ms(gateway.now()) < MIN_REMAINING_MS {
         Code::TooLate
-    } else if !retry_state.has_tried() {
+    } else if is_untouched {
         Code::NoEndpoint
     } else {
         Code::Refused
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,8 +1,8 @@
 //! Hands requests over to another gateway, which reaches endpoints that this one does not.
 //!
-//! A request is handed over at most once: the other gateway serves it as it would serve a
-//! client's, but never hands it on. What this gateway has sent for it counts there too; see
-//! [`Handover`].
+//! The other gateway serves the request as it would serve a client's, but never hands it on. If
+//! it says that it reaches no endpoint either, the next one is asked. What this gateway has sent
+//! for the request counts there too; see [`Handover`].
 
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
@@ -30,21 +30,23 @@
 };
 
 /// Present in a response that rejects such a request because the other gateway reaches no
-/// endpoint of the service either.
+/// endpoint for it either.
 pub(crate) const NO_ENDPOINT_HEADER: HeaderName = HeaderName::from_static("gateway-no-endpoint");
 /// Minimum time before the deadline at which a request is handed over, in milliseconds.
 const MIN_REMAINING_MS: u64 = 20;
 /// Maximum number of gateways that a request is offered to.
-const MAX_PEERS: usize = 2;
-/// Time for which requests to a service are not handed over after another gateway has
-/// reached no endpoint either, in milliseconds.
-const REJECTED_PAUSE_MS: u64 = 500;
+const MAX_PEERS: usize = 4;
+/// Time for which a gateway is not asked again after it could not be reached, or has reached no
+/// endpoint either, in milliseconds; the next heartbeat tells more.
+const PEER_PAUSE_MS: u64 = 500;
 
 /// Why no other gateway has answered a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ForwardError {
-    /// The request did not run and will not.
+    /// The other gateway cannot be reached, or not in time; the request did not run.
     NotRun,
+    /// The other gateway reaches no endpoint either; the request did not run.
+    NoEndpoint,
     /// The request may have run.
     Unknown,
     /// The request may have run; the response timed out.
@@ -55,6 +57,7 @@
     fn metric_label(self) -> &'static str {
         match self {
             ForwardError::NotRun => "not_run",
+            ForwardError::NoEndpoint => "no_endpoint",
             ForwardError::Unknown => "unknown",
             ForwardError::Timeout => "timeout",
         }
@@ -64,16 +67,23 @@
 /// Returns whether a request should be handed over: this gateway reaches none of the
 /// endpoints of its service that accept requests, and another gateway may.
 pub(crate) fn is_due(gateway: &Gateway, context: &RequestContext) -> bool {
-    let now = gateway.now();
     let group = EndpointGroup::of_service(context.service.clone());
     !context.is_forwarded
-        && context.remaining_ms(now) >= MIN_REMAINING_MS
+        && context.remaining_ms(gateway.now()) >= MIN_REMAINING_MS
         && gateway.endpoint_table.borrow().reach_of(&group).is_cut_off()
-        && !gateway.forward_table.borrow().is_paused(&context.service, now)
-        && gateway.peers.borrow().handover_targets(&group, now).next().is_some()
+        && !targets(gateway, &group).is_empty()
+}
+
+/// Returns the gateways that may serve requests for `group`.
+fn targets(gateway: &Gateway, group: &EndpointGroup) -> Vec<Ipv4Addr> {
+    let now = gateway.now();
+    let table = gateway.forward_table.borrow();
+    let peers = gateway.peers.borrow();
+    peers.handover_targets(group, now).filter(|it| !table.is_paused(*it, group, now)).collect()
 }
 
-/// Hands a request over to another gateway and returns its response.
+/// Hands a request over to another gateway and returns its response; gateways that reach no
+/// endpoint for it are passed over.
 ///
 /// # Errors
 ///
@@ -84,8 +94,7 @@
     sends: &mut Sends,
 ) -> Result<Response<ReplyBody>, ForwardError> {
     let group = EndpointGroup::of_service(context.service.clone());
-    let mut peers: Vec<Ipv4Addr> =
-        gateway.peers.borrow().handover_targets(&group, gateway.now()).collect();
+    let mut peers = targets(gateway, &group);
     let hash = hash64(context.metadata.attempt_id.as_bytes());
     peers.sort_unstable_by_key(|it| hash64(&(hash ^ u64::from(it.to_bits())).to_le_bytes()));
     let mut last_error = ForwardError::NotRun;
@@ -101,9 +110,13 @@
                 last_error = error;
             }
         }
-        if last_error != ForwardError::NotRun {
-            break;
-        }
+        let group = match last_error {
+            ForwardError::NotRun => None,
+            ForwardError::NoEndpoint => Some(group.clone()),
+            ForwardError::Unknown | ForwardError::Timeout => break,
+        };
+        let pause_end = gateway.now() + PEER_PAUSE_MS;
+        gateway.forward_table.borrow_mut().pause(peer, group, pause_end);
         // The other gateway may have recorded it.
         sends.is_recorded = true;
     }
@@ -162,16 +175,14 @@
         Err(_) => return Err(ForwardError::Timeout),
     };
     let (mut head, body) = response.into_parts();
-    if head.headers.remove(NO_ENDPOINT_HEADER).is_some() {
-        let now = gateway.now();
-        gateway.forward_table.borrow_mut().pause(&context.service, now + REJECTED_PAUSE_MS);
-    }
+    let is_rejected = head.headers.remove(NO_ENDPOINT_HEADER).is_some();
     strip_hop_by_hop_headers(&mut head.headers);
     let body = PeerBody { gateway: gateway.clone(), context: context.clone(), connection, body };
     if context.route().streaming && head.status.is_success() {
         return Ok(Response::from_parts(head, body.into_stream()));
     }
-    body.collect(head, &pool).await
+    let response = body.collect(head, &pool).await;
+    if is_rejected { Err(ForwardError::NoEndpoint) } else { response }
 }
 
 fn build_request(
--- a/crates/gateway/src/forward_table.rs
+++ b/crates/gateway/src/forward_table.rs
@@ -6,16 +6,17 @@
     rc::Rc,
 };
 
-use mimosaledge_core::{Millis, Name};
+use mimosaledge_core::Millis;
+use mimosaledge_policy::EndpointGroup;
 
 use crate::{gateway::Gateway, pool::Pool};
 
-/// Connections to other gateways, and services that they reach no endpoint of either.
+/// Connections to other gateways, and those that are not asked for the moment.
 #[derive(Debug, Default)]
 pub(crate) struct ForwardTable {
     pools: HashMap<Ipv4Addr, Rc<Pool>>,
-    /// Time before which requests to a service are not handed over.
-    paused_until: HashMap<Name, Millis>,
+    /// Time before which a gateway is not asked, for one group of endpoints or for any.
+    paused_until: HashMap<(Ipv4Addr, Option<EndpointGroup>), Millis>,
 }
 
 impl ForwardTable {
@@ -28,19 +29,21 @@
         self.pools.entry(peer).or_insert_with(new).clone()
     }
 
-    /// Hands no requests to `service` over until `time`.
-    pub(crate) fn pause(&mut self, service: &Name, time: Millis) {
-        self.paused_until.insert(service.clone(), time);
+    /// Hands a gateway no requests for `group`, or none at all, until `time`.
+    pub(crate) fn pause(&mut self, peer: Ipv4Addr, group: Option<EndpointGroup>, time: Millis) {
+        self.paused_until.insert((peer, group), time);
     }
 
-    /// Returns whether requests to `service` are not handed over.
-    pub(crate) fn is_paused(&self, service: &str, now: Millis) -> bool {
-        self.paused_until.get(service).is_some_and(|it| now < *it)
+    /// Returns whether a gateway is handed no requests for `group`.
+    pub(crate) fn is_paused(&self, peer: Ipv4Addr, group: &EndpointGroup, now: Millis) -> bool {
+        let is_paused = |group| self.paused_until.get(&(peer, group)).is_some_and(|it| now < *it);
+        !self.paused_until.is_empty() && (is_paused(None) || is_paused(Some(group.clone())))
     }
 
     /// Closes connections that have been idle for too long, and forgets the gateways that
     /// have none left.
-    pub(crate) fn close_expired(&mut self) {
+    pub(crate) fn close_expired(&mut self, now: Millis) {
+        self.paused_until.retain(|_, time| now < *time);
         self.pools.retain(|_, pool| {
             pool.close_expired();
             !pool.is_empty() || Rc::strong_count(pool) > 1
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,7 +15,7 @@
 };
 use mimosaledge_net::server::{ReplyBody, read_body};
 use mimosaledge_policy::{
-    RetryPolicy,
+    EndpointGroup, RetryPolicy,
     config::{AuthorizedRequest, Denial},
 };
 use tokio::time::timeout;
@@ -93,11 +93,16 @@
         arrived,
         finished: false,
     };
-    let mut is_cut_off = false;
+    let reaches_none =
+        |group: &EndpointGroup| gateway.endpoint_table.borrow().reach_of(group).is_cut_off();
+    let (mut is_cut_off, mut has_lost) = (false, false);
     let result = match prepare(gateway, head, metadata, body, arrived, handover).await {
         Ok(context) => {
-            is_cut_off = gateway.endpoint_table.borrow().reach_of(&context.group()).is_cut_off();
-            attempts::run(gateway, Rc::new(context)).await
+            let group = context.group();
+            is_cut_off = reaches_none(&group);
+            let result = attempts::run(gateway, Rc::new(context)).await;
+            has_lost = reaches_none(&group);
+            result
         }
         Err(error) => Err(error),
     };
@@ -115,7 +120,7 @@
             gateway.now().since(arrived)
         );
         let mut response = error.to_response(&*gateway.dialect, &attempt_id);
-        if source == Source::Gateway && error.code == Code::NoEndpoint {
+        if source == Source::Gateway && error.code == Code::NoEndpoint && has_lost {
             let headers = response.headers_mut();
             headers.insert(forward::NO_ENDPOINT_HEADER, HeaderValue::from_static("1"));
         }
--- a/crates/gateway/src/retry_state.rs
+++ b/crates/gateway/src/retry_state.rs
@@ -58,6 +58,11 @@
         !self.tried_nodes.is_empty()
     }
 
+    /// Returns whether this gateway has sent the request to an endpoint that it reached.
+    pub(crate) fn has_sent(&self, context: &RequestContext) -> bool {
+        self.sends.sent != context.sends.sent || self.sends.ran != context.sends.ran
+    }
+
     /// Returns whether the request may have run at an endpoint.
     pub(crate) fn may_have_run(&self) -> bool {
         self.sends.ran > 0
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -180,7 +180,7 @@
     let now = gateway.now();
     permits::run_maintenance(gateway);
     reach::log_changes(gateway);
-    gateway.forward_table.borrow_mut().close_expired();
+    gateway.forward_table.borrow_mut().close_expired(now);
     for handle in gateway.endpoint_table.borrow().handles() {
         handle.pool.close_expired();
         let handle = handle.clone();
