Hand a resumed stream to a gateway that reaches its build

What a gateway reaches is now asked for the endpoints that may serve the request: of a resumed stream, those of its build.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -65,9 +65,9 @@
 }
 
 /// Returns whether a request should be handed over: this gateway reaches none of the
-/// endpoints of its service that accept requests, and another gateway may.
+/// endpoints that may serve it, and another gateway may.
 pub(crate) fn is_due(gateway: &Gateway, context: &RequestContext) -> bool {
-    let group = EndpointGroup::of_service(context.service.clone());
+    let group = context.group();
     !context.is_forwarded
         && context.remaining_ms(gateway.now()) >= MIN_REMAINING_MS
         && gateway.endpoint_table.borrow().reach_of(&group).is_cut_off()
@@ -93,7 +93,7 @@
     context: &Rc<RequestContext>,
     sends: &mut Sends,
 ) -> Result<Response<ReplyBody>, ForwardError> {
-    let group = EndpointGroup::of_service(context.service.clone());
+    let group = context.group();
     let mut peers = targets(gateway, &group);
     let hash = hash64(context.metadata.attempt_id.as_bytes());
     peers.sort_unstable_by_key(|it| hash64(&(hash ^ u64::from(it.to_bits())).to_le_bytes()));
@@ -166,7 +166,7 @@
     peer: Ipv4Addr,
 ) -> Result<Response<ReplyBody>, ForwardError> {
     let pool = gateway.forward_table.borrow_mut().pool(gateway, peer);
-    let request = build_request(gateway, context, sends);
+    let request = build_request(gateway, context, sends, peer);
     let sent = timeout(remaining(gateway, context), pool.send(request)).await;
     let (response, connection) = match sent {
         Ok(Ok(sent)) => sent,
@@ -189,6 +189,7 @@
     gateway: &Gateway,
     context: &RequestContext,
     sends: Sends,
+    peer: Ipv4Addr,
 ) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(context.body.clone()));
     *request.method_mut() = context.head.method.clone();
@@ -197,7 +198,8 @@
     let mut headers = context.head.headers.clone();
     strip_hop_by_hop_headers(&mut headers);
     let deadline_ms = Some(context.remaining_ms(gateway.now()));
-    Handover { deadline_ms, sends }.insert_into(&mut headers);
+    let version = gateway.peers.borrow().version_of(peer);
+    Handover { deadline_ms, sends, build: context.build }.insert_into(&mut headers, version);
     *request.headers_mut() = headers;
     request
 }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -6,6 +6,7 @@
     HeaderMap,
     header::{HeaderName, HeaderValue},
 };
+use mimosaledge_peer::Version;
 use mimosaledge_policy::sends::Sends;
 
 /// Time left until the request's deadline, in milliseconds.
@@ -13,6 +14,8 @@
 /// Whether the request is recorded in a retry budget (1 or 0), whether its next send has been
 /// taken from one, how many endpoints it may have reached, and at how many it may have run.
 const SENDS_HEADER: HeaderName = HeaderName::from_static("gateway-sends");
+/// Key of the build that began the stream that the request resumes.
+const BUILD_HEADER: HeaderName = HeaderName::from_static("gateway-build");
 
 /// The state of a request that is handed over.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -20,14 +23,19 @@
     /// Time left until the deadline, in milliseconds.
     pub(crate) deadline_ms: Option<u64>,
     pub(crate) sends: Sends,
+    /// Key of the build that began the stream, if the request resumes one.
+    pub(crate) build: Option<u64>,
 }
 
 impl Handover {
-    /// Adds the state to the headers of the request.
-    pub(crate) fn insert_into(self, headers: &mut HeaderMap) {
+    /// Adds the state to the headers of the request for a gateway of `version`.
+    pub(crate) fn insert_into(self, headers: &mut HeaderMap, version: Version) {
         if let Some(deadline_ms) = self.deadline_ms {
             headers.insert(DEADLINE_HEADER, HeaderValue::from(deadline_ms));
         }
+        if let Some(build) = self.build.filter(|_| version.accepts_builds()) {
+            headers.insert(BUILD_HEADER, HeaderValue::from(build));
+        }
         let Sends { is_recorded, is_prepaid, sent, ran } = self.sends;
         let text = format!("{},{},{sent},{ran}", u8::from(is_recorded), u8::from(is_prepaid));
         match HeaderValue::from_str(&text) {
@@ -45,6 +53,7 @@
             sends: take_header(headers, &SENDS_HEADER)
                 .and_then(|it| parse_sends(&it))
                 .unwrap_or_default(),
+            build: take_header(headers, &BUILD_HEADER).and_then(|it| it.parse().ok()),
         }
     }
 }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -61,10 +61,11 @@
         None => None,
     };
     let build = origin.map(|it| it.build).or(only_build);
+    let service = match build {
+        Some(build) => service_of_build(gateway, route, service, build),
+        None => service,
+    };
     let builds = gateway.builds.borrow();
-    let mut services = route.targets.iter().map(|it| &it.service);
-    let began = build.and_then(|key| services.find(|it| builds.name(it, key).is_some()));
-    let service = began.cloned().unwrap_or(service);
     spdlog::info!(
         "stream: id={} resumes={:?} after_event={:?} recorded={} service={service} build={:?} \
          current={is_current} list_age_ms={} waited_ms={}",
@@ -85,6 +86,18 @@
     }
 }
 
+/// Returns the service of `route` that has a build, or `service` if that is not known.
+pub(crate) fn service_of_build(
+    gateway: &Gateway,
+    route: &Route,
+    service: Name,
+    build: u64,
+) -> Name {
+    let builds = gateway.builds.borrow();
+    let mut services = route.targets.iter().map(|it| &it.service);
+    services.find(|it| builds.name(it, build).is_some()).cloned().unwrap_or(service)
+}
+
 /// Returns the origin of a stream, and asks the gateways that may remember it.
 async fn find_origin(gateway: &Gateway, attempt: u64, max_queries: u32) -> Option<StreamOrigin> {
     let find = || gateway.stream_origins.borrow().find(attempt);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -163,11 +163,14 @@
         return Err(ErrorResponse::with_retry_after(Code::NoEndpoint, CONFIG_RETRY_MS));
     };
     let route = &authorized.route;
-    let (service, build) = if route.retry == RetryPolicy::Resume && metadata.last_event.is_some() {
-        let target = origins::find_target(gateway, route, service, &metadata).await?;
-        (target.service, Some(target.build))
-    } else {
-        (service, None)
+    let is_resume = route.retry == RetryPolicy::Resume && metadata.last_event.is_some();
+    let (service, build) = match handover.and_then(|it| it.build) {
+        _ if !is_resume => (service, None),
+        Some(build) => (origins::service_of_build(gateway, route, service, build), Some(build)),
+        None => {
+            let target = origins::find_target(gateway, route, service, &metadata).await?;
+            (target.service, Some(target.build))
+        }
     };
     let fingerprint = fingerprint(&head, &metadata, &body);
     let shared_parts = shared_parts(&metadata.prompt);
