Do not take a broken connection for a response of its endpoint

A gateway that had lost its links counted an endpoint as reached again each time a connection to it broke (`up=true cause=responded`): it returned to the directory and to the other gateways' hand-overs for half a second and more, and its requests waited 0.4 s for that endpoint. Seen at 9.1, 9.3 and 9.8 s after a cut at 7.0 s.

Cause: after a silence, whatever ended it counted, also the operating system's error. Now only what the endpoint sent does: a response, a refusal, events, an orderly end.

Test: broken_connection_is_no_response found two `up=true` lines before.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -5,6 +5,8 @@
 use hyper::body::Incoming;
 use mimosaledge_policy::events::EventSplitter;
 
+use crate::silence::Received;
+
 /// What an endpoint has sent of a stream.
 pub(crate) enum Arrival {
     /// Complete events.
@@ -37,9 +39,15 @@
         }
         Arrival::Events(events.into())
     }
+}
 
+impl Received for Arrival {
     /// Returns whether the stream goes on or is complete.
-    pub(crate) fn is_success(&self) -> bool {
+    fn is_success(&self) -> bool {
         matches!(self, Arrival::Events(_) | Arrival::End)
     }
+
+    fn is_from_endpoint(&self) -> bool {
+        !matches!(self, Arrival::Broken(_))
+    }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
     request_context::RequestContext,
     selected::Selected,
     selection,
+    silence::Received,
 };
 
 /// A response whose head has been received and whose body is still to be read.
@@ -88,6 +89,16 @@
     }
 }
 
+impl Received for Result<OpenResponse, AttemptError> {
+    fn is_success(&self) -> bool {
+        self.as_ref().is_ok_and(|it| !it.head.status.is_server_error())
+    }
+
+    fn is_from_endpoint(&self) -> bool {
+        matches!(self, Ok(_) | Err(AttemptError::NotRun))
+    }
+}
+
 /// Sends a request to one endpoint and waits for the response head.
 ///
 /// # Errors
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -84,7 +84,7 @@
             progress,
             patience: Duration::from_millis(patience_ms),
         };
-        let opened = match waiting.run(attempt.response, is_final).await {
+        let opened = match waiting.run(attempt.response).await {
             Waited::Received(opened, next) => {
                 replacement = next;
                 opened
@@ -171,11 +171,6 @@
     MIN_RETRY_AFTER_MS.max(wait_ms) + jitter_ms
 }
 
-/// Returns whether no other endpoint needs to be tried after this response.
-fn is_final(opened: &Result<OpenResponse, AttemptError>) -> bool {
-    opened.as_ref().is_ok_and(|it| !it.head.status.is_server_error())
-}
-
 /// Starts an attempt at the next endpoint; returns `None` if there is none.
 ///
 /// # Errors
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -194,7 +194,7 @@
             patience: Duration::from_millis(patience_ms),
         };
         let arrival = Arrival::read(&mut self.upstream.body, &mut self.splitter);
-        waiting.run(arrival, Arrival::is_success).await
+        waiting.run(arrival).await
     }
 
     /// Returns the time without events after which the endpoint counts as silent, in
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -27,6 +27,15 @@
 /// work on one stream for longer than 400 ms at a time.
 const STREAM_OVERLAP: Duration = Duration::from_millis(300);
 
+/// What ends the wait for an endpoint.
+pub(crate) trait Received {
+    /// Returns whether no other endpoint needs to be tried.
+    fn is_success(&self) -> bool;
+
+    /// Returns whether the endpoint has sent it, rather than the operating system.
+    fn is_from_endpoint(&self) -> bool;
+}
+
 /// Result of waiting for an endpoint.
 pub(crate) enum Waited<T> {
     /// The endpoint has sent this; if that is a failure, an attempt that was to replace
@@ -57,11 +66,7 @@
     /// this one, or until the deadline.
     ///
     /// A success ends the attempt that overlaps with this one, a failure does not.
-    pub(crate) async fn run<T>(
-        mut self,
-        response: impl Future<Output = T>,
-        is_success: impl Fn(&T) -> bool,
-    ) -> Waited<T> {
+    pub(crate) async fn run<T: Received>(mut self, response: impl Future<Output = T>) -> Waited<T> {
         let mut response = pin!(response);
         if let Ok(received) = timeout(self.patience.min(self.remaining()), response.as_mut()).await
         {
@@ -73,7 +78,7 @@
                 let wait = SEARCH_INTERVAL.min(self.remaining());
                 match timeout(wait, response.as_mut()).await {
                     Ok(received) => {
-                        self.handle.mark_responsive();
+                        self.record_end(&received);
                         return Waited::Received(received, None);
                     }
                     Err(_) => continue,
@@ -82,8 +87,8 @@
             tokio::select! {
                 biased;
                 received = response.as_mut() => {
-                    self.handle.mark_responsive();
-                    if !is_success(&received) {
+                    self.record_end(&received);
+                    if !received.is_success() {
                         return Waited::Received(received, Some(attempt));
                     }
                     // The replacement is cancelled, but may have run.
@@ -130,6 +135,13 @@
         Duration::from_millis(self.context.remaining_ms(self.gateway.now()))
     }
 
+    /// Records that the silence has ended; a connection that broke says nothing of the endpoint.
+    fn record_end(&self, received: &impl Received) {
+        if received.is_from_endpoint() {
+            self.handle.mark_responsive();
+        }
+    }
+
     fn record_silence(&self) {
         spdlog::info!(
             "silence: id={} endpoint={} waited_ms={} sent={} ran={}",
