Try a newly listed endpoint before it counts as reached

During a release, a gateway that had lost a service counted each endpoint that was listed newly as reached: requests were sent there (0.4 s each if the link is silent) instead of to a neighbour, and the gateway returned to the directory meanwhile.

Cause: an endpoint counted as reachable until it had failed. One whose service is otherwise not reached at all now counts as down until a probe, started at once, has connected to it. Services of which something is reached, and gateways that start, are as before. Builds are counted in one pass.

--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -88,6 +88,12 @@
         }
     }
 
+    /// Counts the endpoint as unreachable until a probe has reached it.
+    pub(crate) fn doubt(&self) {
+        *self.health.borrow_mut() = Health::unproven(self.clock.now());
+        spdlog::info!("health: endpoint={} up=false cause=Unproven", self.id());
+    }
+
     /// Returns the node number, which identifies this incarnation on all
     /// gateways.
     pub(crate) fn node(&self) -> u64 {
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -7,7 +7,7 @@
     endpoints::{Change, Endpoints},
 };
 
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, reach};
 
 /// Time without confirmation by the store or a peer after which the endpoint list may lack
 /// endpoints that others know, in milliseconds.
@@ -136,6 +136,7 @@
             self.clock,
         );
         self.builds.borrow_mut().record(endpoints.iter(), self.now());
+        reach::start_probes(self);
     }
 
     /// Records that the endpoint list was current `age_ms` ago.
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -60,6 +60,16 @@
     reach
 }
 
+/// Counts the endpoints of each build of a service, by its key.
+fn reach_by_build(handles: &[Rc<EndpointHandle>]) -> BTreeMap<u64, Reach> {
+    let mut builds: BTreeMap<u64, Reach> = BTreeMap::new();
+    for handle in handles.iter().filter(|it| it.is_ready()) {
+        let key = handle.endpoint.borrow().build_key();
+        builds.entry(key).or_default().add(handle.is_reachable());
+    }
+    builds
+}
+
 /// The handles of all listed endpoints, with indexes for lookup.
 ///
 /// A handle belongs to an incarnation of an endpoint, not to its entry in the list: if the entry
@@ -79,7 +89,8 @@
 
 impl EndpointTable {
     /// Updates the table to match the endpoint list; requests in flight at a
-    /// removed endpoint continue. New ones are connected to from the address `local`.
+    /// removed endpoint continue. New ones are connected to from the address `local`, and
+    /// count as unreachable at first if all others of their service are.
     pub(crate) fn update<'a>(
         &mut self,
         listed: impl Iterator<Item = &'a Endpoint>,
@@ -87,6 +98,8 @@
         clock: Clock,
     ) {
         let now = clock.now();
+        let unreached: Vec<Name> =
+            self.unreached_groups().into_keys().filter_map(EndpointGroup::into_service).collect();
         let mut previous = std::mem::take(&mut self.handles);
         self.by_service.clear();
         self.by_short_number.clear();
@@ -100,7 +113,11 @@
                 None => {
                     let mean_duration = self.mean_durations.entry(endpoint.service.clone());
                     let mean_duration = mean_duration.or_default().clone();
-                    Rc::new(EndpointHandle::new(endpoint.clone(), local, mean_duration, clock))
+                    let new = EndpointHandle::new(endpoint.clone(), local, mean_duration, clock);
+                    if unreached.contains(&endpoint.service) {
+                        new.doubt();
+                    }
+                    Rc::new(new)
                 }
             };
             self.by_service.entry(endpoint.service.clone()).or_default().push(handle.clone());
@@ -153,13 +170,12 @@
                 unreached.insert(whole, reach);
                 continue;
             }
-            for handle in handles.iter().filter(|it| it.is_ready() && !it.is_reachable()) {
-                let build = Some(handle.endpoint.borrow().build_key());
-                let group = EndpointGroup { service: service.clone(), build };
-                let reach = self.reach_of(&group);
-                if reach.is_cut_off() {
-                    unreached.insert(group, reach);
-                }
+            if reach.ready > reach.reachable {
+                let builds = reach_by_build(handles).into_iter();
+                let lost = builds.filter(|(_, reach)| reach.is_cut_off());
+                let to_group =
+                    |build| EndpointGroup { service: service.clone(), build: Some(build) };
+                unreached.extend(lost.map(|(build, reach)| (to_group(build), reach)));
             }
         }
         unreached
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -29,6 +29,16 @@
     spawn_local(async move { check(&gateway).await });
 }
 
+/// Starts the probes that are due of endpoints that are not available.
+pub(crate) fn start_probes(gateway: &Gateway) {
+    let now = gateway.now();
+    let table = gateway.endpoint_table.borrow();
+    for handle in table.handles().filter(|it| !it.is_available()) {
+        let handle = handle.clone();
+        spawn_local(async move { handle.probe(now).await });
+    }
+}
+
 async fn check(gateway: &Gateway) {
     let mut handles = shuffled(gateway, EndpointHandle::is_available);
     if handles.is_empty() {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -183,11 +183,8 @@
     gateway.forward_table.borrow_mut().close_expired(now);
     for handle in gateway.endpoint_table.borrow().handles() {
         handle.pool.close_expired();
-        let handle = handle.clone();
-        if !handle.is_available() {
-            spawn_local(async move { handle.probe(now).await });
-        }
     }
+    reach::start_probes(gateway);
 }
 
 /// Shuts the gateway down gracefully: reports not ready, stops accepting
--- a/crates/policy/src/endpoint_group.rs
+++ b/crates/policy/src/endpoint_group.rs
@@ -17,6 +17,11 @@
         EndpointGroup { service, build: None }
     }
 
+    /// Returns the service of a group that is not limited to one build.
+    pub fn into_service(self) -> Option<Name> {
+        self.build.is_none().then_some(self.service)
+    }
+
     /// Returns the number by which gateways name the group to each other.
     pub fn number(&self) -> u32 {
         let hash = self.build.unwrap_or_else(|| hash64(self.service.as_bytes()));
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -89,6 +89,13 @@
 }
 
 impl Health {
+    /// Returns the health of an endpoint that counts as down until a probe has reached it,
+    /// which is due at `now`.
+    pub fn unproven(now: Millis) -> Health {
+        let down = Some(Down { next_probe: now, backoff_ms: INITIAL_BACKOFF_MS });
+        Health { down, ..Health::default() }
+    }
+
     /// Records how a request ended.
     pub fn record(&mut self, settings: &PolicySettings, outcome: Outcome, now: Millis) {
         match outcome {
