Check by service whether links are lost, and whether an endpoint crashed

When a gateway lost the links to one service, the requests that ran there were held for crashing its endpoints and refused by all gateways (3004), since endpoints of another service still accepted connections. The same question asked for the whole process: three endpoints of any service were tried, so that the loss of one service was also found one endpoint after the other.

Both now ask endpoints of the same service; a loss leads to a check of the others.

Test: requests_that_a_cut_from_one_service_interrupts_are_not_quarantined got 3004 before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -126,7 +126,7 @@
         Ok(sent) => sent,
         Err(SendError::Unreachable) => {
             gateway.retry_budget.borrow_mut().refund(&context.service, grant);
-            reach::start_check(gateway);
+            reach::start_check(gateway, &context.service);
             handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, now);
             return Err(log_failure(gateway, context, handle, AttemptError::Unsent, "unreachable"));
         }
@@ -135,7 +135,7 @@
             return Err(log_failure(gateway, context, handle, AttemptError::Unsent, "expired"));
         }
         Err(SendError::ConnectionLost { idle_ms, io }) => {
-            reach::start_check(gateway);
+            reach::start_check(gateway, &context.service);
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
             quarantine::check_for_crash(gateway, context, handle, None);
             let cause = format!("connection broken, idle_ms={idle_ms:?}, io={io:?}");
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -249,10 +249,15 @@
         self.is_ready() && self.is_reachable()
     }
 
+    /// Returns whether the endpoint belongs to a service.
+    pub(crate) fn is_of(&self, service: &str) -> bool {
+        &*self.endpoint.borrow().service == service
+    }
+
     /// Returns whether the endpoint belongs to a group.
     pub(crate) fn is_in(&self, group: &EndpointGroup) -> bool {
-        let endpoint = self.endpoint.borrow();
-        endpoint.service == group.service && group.build.is_none_or(|it| it == endpoint.build_key())
+        let build_key = || self.endpoint.borrow().build_key();
+        self.is_of(&group.service) && group.build.is_none_or(|it| it == build_key())
     }
 
     /// Returns whether the endpoint accepts new requests, as far as it has said.
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -139,6 +139,11 @@
         self.by_service.get(service).map_or(&[], |it| it.as_slice())
     }
 
+    /// Iterates over the services that have endpoints.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &Name> {
+        self.by_service.keys()
+    }
+
     /// Returns the endpoint with this node number.
     pub(crate) fn find(&self, node: u64) -> Option<Rc<EndpointHandle>> {
         self.handles.get(&node).cloned()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,11 +2,11 @@
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     rc::Rc,
 };
 
-use mimosaledge_core::{Millis, quarantine::Quarantine};
+use mimosaledge_core::{Millis, Name, quarantine::Quarantine};
 use mimosaledge_peer::{ChangeBatch, Rejections, StateSummary};
 use mimosaledge_policy::{
     EndpointGroup, FleetConfig, Position, Reach,
@@ -86,8 +86,8 @@
     /// Notified when another gateway has sent the origin of a stream.
     pub(crate) origin_received: Notify,
     pub(crate) forward_table: RefCell<ForwardTable>,
-    /// When this gateway last checked which endpoints it reaches.
-    pub(crate) reach_checked: Cell<Millis>,
+    /// When this gateway last checked which endpoints of a service it reaches.
+    pub(crate) reach_checked: RefCell<HashMap<Name, Millis>>,
     /// Services and builds that this gateway reaches no endpoint of, as last logged.
     pub(crate) unreached: RefCell<BTreeMap<EndpointGroup, Reach>>,
     pub(crate) loads: Rc<RefCell<Loads>>,
@@ -157,7 +157,7 @@
             unsent_origins: RefCell::default(),
             origin_received: Notify::new(),
             forward_table: RefCell::default(),
-            reach_checked: Cell::default(),
+            reach_checked: RefCell::default(),
             unreached: RefCell::default(),
             loads: Rc::default(),
             peers: RefCell::new(peers),
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,12 +1,12 @@
-//! Finds out quickly that this gateway has lost its links to all endpoints.
+//! Finds out quickly that this gateway has lost its links to the endpoints of a service.
 //!
-//! When an endpoint cannot be reached, a few others are tried; if none of these accepts a
-//! connection, all are. Requests need not find out about one endpoint after the other.
+//! When an endpoint cannot be reached, a few others of its service are tried; if none of these
+//! accepts a connection, all are. Requests need not find out about one endpoint after the other.
 
 use std::rc::Rc;
 
 use futures_util::future::join_all;
-use mimosaledge_core::hash::hash64;
+use mimosaledge_core::{Name, hash::hash64};
 use mimosaledge_policy::{EndpointGroup, Reach, health::Outcome};
 use tokio::task::spawn_local;
 
@@ -17,16 +17,17 @@
 /// Minimum interval between two checks, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 1_000;
 
-/// Starts a check of the endpoints after one of them could not be reached, unless there was
-/// one just before.
-pub(crate) fn start_check(gateway: &Rc<Gateway>) {
+/// Starts a check of the endpoints of a service after one of them could not be reached, unless
+/// there was one just before.
+pub(crate) fn start_check(gateway: &Rc<Gateway>, service: &Name) {
     let now = gateway.now();
-    if now.since(gateway.reach_checked.get()) < CHECK_INTERVAL_MS {
+    let mut checked = gateway.reach_checked.borrow_mut();
+    if checked.get(service).is_some_and(|at| now.since(*at) < CHECK_INTERVAL_MS) {
         return;
     }
-    gateway.reach_checked.set(now);
-    let gateway = gateway.clone();
-    spawn_local(async move { check(&gateway).await });
+    checked.insert(service.clone(), now);
+    let (gateway, service) = (gateway.clone(), service.clone());
+    spawn_local(async move { check(&gateway, &service).await });
 }
 
 /// Starts the probes that are due of endpoints that are not available.
@@ -39,15 +40,26 @@
     }
 }
 
-async fn check(gateway: &Gateway) {
-    let mut handles = shuffled(gateway, EndpointHandle::is_available);
+/// Tries a few endpoints of a service, and all if none of these can be reached; if none can at
+/// all, the other services are checked as well.
+async fn check(gateway: &Rc<Gateway>, service: &Name) {
+    let is_candidate = |it: &EndpointHandle| it.is_available() && it.is_of(service);
+    let mut handles = shuffled(gateway, is_candidate);
     if handles.is_empty() {
         return;
     }
     let rest = handles.split_off(SAMPLE_SIZE.min(handles.len()));
-    if try_all(gateway, &handles).await == 0 {
-        let reached = try_all(gateway, &rest).await;
-        spdlog::info!("reach: checked={} reached={reached}", handles.len() + rest.len());
+    if try_all(gateway, &handles).await > 0 {
+        return;
+    }
+    let reached = try_all(gateway, &rest).await;
+    spdlog::info!(
+        "reach: service={service} checked={} reached={reached}",
+        handles.len() + rest.len()
+    );
+    if reached == 0 {
+        let services: Vec<Name> = gateway.endpoint_table.borrow().services().cloned().collect();
+        services.iter().for_each(|it| start_check(gateway, it));
     }
 }
 
@@ -75,14 +87,19 @@
     );
 }
 
-/// Returns whether an endpoint that cannot be reached is one of many: no other one accepts a
-/// connection either, while another gateway reaches endpoints.
+/// Returns whether an endpoint that cannot be reached is one of many: no other one of its
+/// service accepts a connection either, while another gateway reaches the service.
 pub(crate) async fn is_cut_off(gateway: &Gateway, unreachable: &EndpointHandle) -> bool {
-    let group = EndpointGroup::of_service(unreachable.endpoint.borrow().service.clone());
+    let service = unreachable.endpoint.borrow().service.clone();
+    let group = EndpointGroup::of_service(service.clone());
     if gateway.peers.borrow().handover_targets(&group, gateway.now()).next().is_none() {
         return false;
     }
-    let mut others = shuffled(gateway, |it| it.is_ready() && it.node() != unreachable.node());
+    let is_other = |it: &EndpointHandle| it.is_ready() && it.node() != unreachable.node();
+    let mut others = shuffled(gateway, |it| is_other(it) && it.is_of(&service));
+    if others.is_empty() {
+        others = shuffled(gateway, is_other);
+    }
     others.truncate(SAMPLE_SIZE);
     let results = join_all(others.iter().map(|it| it.pool.try_connect())).await;
     !results.is_empty() && results.iter().all(|is_reached| !is_reached)
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -151,7 +151,7 @@
             self.retry_state.sends.sent,
             self.retry_state.sends.ran
         );
-        reach::start_check(self.gateway);
+        reach::start_check(self.gateway, &self.context.service);
         let policy = &self.gateway.settings.policy;
         self.handle.record_outcome(policy, Outcome::Silent, self.gateway.now());
     }
