Record builds in the store, so that a gateway that starts knows which have left

Cause: `Builds` was complete only for what the process had seen itself; a process that starts took the builds listed now for all there have been. The class is that of streams-across-builds: work goes on elsewhere without the state it depends on. Each build is now a record in a topic of its own, written when it is first seen and removed 60 s after its last endpoint left; a gateway that starts reads them, and until then, or if none names the service, rejects streams of unknown build as not run.

--- a/crates/gateway/src/cursor.rs
+++ b/crates/gateway/src/cursor.rs
@@ -196,5 +196,6 @@
         Topic::Config => "config",
         Topic::Endpoints => "endpoints",
         Topic::Gateways => "gateways",
+        Topic::Builds => "builds",
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -133,6 +133,7 @@
             false => RetryBudget::after_restart(limit, clock.now()),
         };
         let bounds = Cell::new(settings.bounds);
+        let builds = RefCell::new(Builds::new(settings.first_start));
         let peers = Peers::new(&settings, clock.now());
         let permit_table = PermitTable::new(settings.address, clock.now());
         Gateway {
@@ -152,7 +153,7 @@
             crashing_parts: RefCell::default(),
             buffer_total: BufferTotal::default(),
             cached_prefixes: RefCell::default(),
-            builds: RefCell::default(),
+            builds,
             stream_origins: RefCell::default(),
             unsent_origins: RefCell::default(),
             origin_received: Notify::new(),
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -33,7 +33,7 @@
         if let Some(deadline_ms) = self.deadline_ms {
             headers.insert(DEADLINE_HEADER, HeaderValue::from(deadline_ms));
         }
-        if let Some(build) = self.build.filter(|_| version.accepts_builds()) {
+        if let Some(build) = self.build.filter(|_| version.knows_builds()) {
             headers.insert(BUILD_HEADER, HeaderValue::from(build));
         }
         let Sends { is_recorded, is_prepaid, sent, ran } = self.sends;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod attempts;
 mod body_buffer;
 mod budget;
+mod build_records;
 mod claims;
 mod clock;
 mod cursor;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -208,16 +208,25 @@
     /// the endpoint list from the store: those with the highest ring positions
     /// among the gateways that have a list.
     pub(crate) fn is_reader(&self, now: Millis) -> bool {
+        self.count_preceding(|it| it.summary.position.offset > 0, now) < self.list_readers
+    }
+
+    /// Returns whether this gateway is one of those that record builds in the store: as many,
+    /// chosen in the same way among the gateways that know of such records.
+    pub(crate) fn is_recorder(&self, now: Millis) -> bool {
+        let can_record = |it: &Peer| it.summary.position.offset > 0 && it.version.knows_builds();
+        self.count_preceding(can_record, now) < self.list_readers
+    }
+
+    /// Counts the gateways with a higher ring position that fulfil a condition.
+    fn count_preceding(&self, condition: impl Fn(&Peer) -> bool, now: Millis) -> usize {
         let own_position = ring_position(self.own_address);
-        let can_read = |address: &Ipv4Addr| match self.peers.get(address) {
-            Some(peer) => peer.summary.position.offset > 0,
-            // In a large fleet it takes long to receive a heartbeat from every
-            // gateway, so those without one are assumed to have a list.
-            None => self.is_large(),
-        };
         let preceding =
             self.membership.possibly_alive(now).filter(|it| ring_position(*it) > own_position);
-        preceding.filter(can_read).count() < self.list_readers
+        // In a large fleet it takes long to receive a heartbeat from every gateway, so those
+        // without one are assumed to fulfil it.
+        let is_counted = |it: &Ipv4Addr| self.peers.get(it).map_or(self.is_large(), &condition);
+        preceding.filter(is_counted).count()
     }
 
     /// Adds a request that was in flight at an endpoint when it crashed to the
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    build_records,
     dialect::Dialect,
     directory,
     drain::Phase,
@@ -93,6 +94,7 @@
     spawn_local(follow_config::follow_config(gateway.clone()));
     spawn_local(follow::follow_endpoints(gateway.clone()));
     spawn_local(follow::follow_gateways(gateway.clone()));
+    spawn_local(build_records::run(gateway.clone()));
     spawn_local(gossip::run(gateway.clone(), peer_socket));
     loop {
         tokio::select! {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -5,7 +5,7 @@
 
 use mimosaledge_core::Name;
 use mimosaledge_net::LocalBoxFuture;
-use mimosaledge_policy::{FleetConfig, endpoints::Change};
+use mimosaledge_policy::{BuildId, FleetConfig, endpoints::Change};
 
 use crate::error::Result;
 
@@ -18,6 +18,8 @@
     Endpoints,
     /// Entries of gateways.
     Gateways,
+    /// Builds that endpoints have, or have had lately.
+    Builds,
 }
 
 /// The entry by which other gateways discover a gateway.
@@ -38,6 +40,8 @@
     Endpoint(Change),
     /// An entry of a gateway.
     Gateway(GatewayEntry),
+    /// A build.
+    Build(BuildId),
     /// A record that cannot be decoded.
     Unreadable {
         /// The record's key.
@@ -115,4 +119,11 @@
     ///
     /// Returns an error if the call fails.
     fn register(&self, entry: GatewayEntry) -> LocalBoxFuture<'_, Result<Option<u64>>>;
+
+    /// Writes the record of a build, or removes it if it counts no longer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails.
+    fn record_build(&self, id: BuildId, is_recent: bool) -> LocalBoxFuture<'_, Result<()>>;
 }
--- a/crates/peer/src/version.rs
+++ b/crates/peer/src/version.rs
@@ -14,8 +14,8 @@
     pub const BEFORE_FOOTER: Version = Version(1);
     /// Datagrams with footer.
     pub const FOOTER: Version = Version(2);
-    /// Heartbeats that name the services and builds that the sender reaches no endpoint of, and
-    /// hand-overs that name the build of a stream.
+    /// Heartbeats that name the services and builds that the sender reaches no endpoint of,
+    /// hand-overs that name the build of a stream, and records of builds in the store.
     pub const REACH: Version = Version(3);
     /// The version of this build.
     pub const CURRENT: Version = Version::REACH;
@@ -41,9 +41,9 @@
         self >= Version::BEFORE_FOOTER
     }
 
-    /// Returns whether a gateway of this version knows the build of a stream that is handed
-    /// over.
-    pub fn accepts_builds(self) -> bool {
+    /// Returns whether a gateway of this version understands the build of a stream that is
+    /// handed over, and records builds in the store.
+    pub fn knows_builds(self) -> bool {
         self >= Version::REACH
     }
 }
--- a/crates/policy/src/endpoint.rs
+++ b/crates/policy/src/endpoint.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddrV4;
 
-use mimosaledge_core::{Name, hash::hash64};
+use mimosaledge_core::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::build_id::build_key;
+
 /// Whether an endpoint accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointState {
@@ -39,6 +41,6 @@
 impl Endpoint {
     /// Returns a key of the build of the service, the same at every gateway.
     pub fn build_key(&self) -> u64 {
-        hash64(format!("{}\n{}", self.service, self.build).as_bytes())
+        build_key(&self.service, &self.build)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`events`] | splitting of event streams |
 
 pub mod admission;
+mod build_id;
 pub mod builds;
 pub mod concurrency;
 pub mod config;
@@ -54,6 +55,7 @@
 pub mod version_follower;
 
 pub use crate::{
+    build_id::BuildId,
     config::FleetConfig,
     endpoint::{Endpoint, EndpointState},
     endpoint_group::EndpointGroup,
