--- a/crates/policy/tests/stream_origins.rs
+++ b/crates/policy/tests/stream_origins.rs
@@ -27,7 +27,7 @@
 }
 
 fn builds(listed: &[Endpoint]) -> Builds {
-    let mut builds = Builds::default();
+    let mut builds = Builds::new(true);
     builds.record(listed.iter(), NOW);
     builds
 }
