Believe a refusal on a used connection only with the attempt's ID

An operators' report, and it can happen here: a faulty endpoint wrote an earlier refusal once more on a kept connection.

Any such response is now taken for a copy: the attempt may have run, the connection is closed, and the log says "no attempt id".

Tests: repeated_refusals, all four kinds of route, refusals and misdirections, with another's ID and without, before and after the request has begun to run, and two at once; the two without ID failed before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -150,15 +150,13 @@
     handle.record_notices(&metadata, now);
     permits::record_limits(gateway, handle, &metadata);
     connection.set_idle_timeout(metadata.idle_timeout_ms);
-    if !is_own_response(context, &connection, &head, &metadata) {
+    if !is_own_response(context, &connection, &metadata) {
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
-        return Err(log_failure(
-            gateway,
-            context,
-            handle,
-            AttemptError::Unknown,
-            "wrong attempt id",
-        ));
+        let cause = match metadata.attempt_id {
+            Some(_) => "wrong attempt id",
+            None => "no attempt id",
+        };
+        return Err(log_failure(gateway, context, handle, AttemptError::Unknown, cause));
     }
     if metadata.misdirected {
         gateway.remove_endpoint(&handle.id());
@@ -181,16 +179,16 @@
 
 /// Returns whether a response is that of the attempt.
 ///
-/// A copy of an earlier response may arrive late, on a connection that is in use again.
+/// A copy of an earlier response, also of a refusal, may arrive late, on a connection that is in
+/// use again.
 fn is_own_response(
     context: &RequestContext,
     connection: &Connection,
-    head: &response::Parts,
     metadata: &ResponseMetadata,
 ) -> bool {
     match &metadata.attempt_id {
         Some(id) => *id == context.metadata.attempt_id,
-        None => !connection.is_reused() || !head.status.is_success(),
+        None => !connection.is_reused(),
     }
 }
 
