--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -144,12 +144,6 @@
     };
     let (head, body) = response.into_parts();
     let metadata = gateway.dialect.decode_response(&head);
-    if let Some(load) = metadata.load {
-        handle.record_load(load, now);
-    }
-    handle.record_notices(&metadata, now);
-    permits::record_limits(gateway, handle, &metadata);
-    connection.set_idle_timeout(metadata.idle_timeout_ms);
     if !is_own_response(context, &connection, &metadata) {
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
         let cause = match metadata.attempt_id {
@@ -158,6 +152,12 @@
         };
         return Err(log_failure(gateway, context, handle, AttemptError::Unknown, cause));
     }
+    if let Some(load) = metadata.load {
+        handle.record_load(load, now);
+    }
+    handle.record_notices(&metadata, now);
+    permits::record_limits(gateway, handle, &metadata);
+    connection.set_idle_timeout(metadata.idle_timeout_ms);
     if metadata.misdirected {
         gateway.remove_endpoint(&handle.id());
         return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "wrong endpoint"));
