Say that a service is reached only once one of its endpoints was

A gateway that was started behind a cut looked sound: it returned to the directory, and the others, whose neighbours had lost the service, handed it their requests. Each waited 0.4 to 0.8 s there; 28 clients of one gateway got 503 within half a second.

Cause: a process that has just started knows only that endpoints are listed, and took that for reach. It now tries one endpoint of each such service at once, and says in its heartbeats that it reaches a service, or anything, only after one has accepted a connection or responded. Its own clients' requests are sent as before.

--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -55,6 +55,8 @@
     /// Time before which no permit can be expected to be left over.
     spare_from: Cell<Millis>,
     health: RefCell<Health>,
+    /// Whether the endpoint has accepted a connection or responded.
+    was_reached: Cell<bool>,
     /// Mean duration of the requests of the endpoint's service.
     mean_duration: Rc<Cell<MeanDuration>>,
     clock: Clock,
@@ -83,6 +85,7 @@
             permits_from: Cell::default(),
             spare_from: Cell::default(),
             health: RefCell::default(),
+            was_reached: Cell::new(false),
             mean_duration,
             clock,
         }
@@ -131,6 +134,9 @@
 
     /// Records how a request ended.
     pub(crate) fn record_outcome(&self, policy: &PolicySettings, outcome: Outcome, now: Millis) {
+        if matches!(outcome, Outcome::Answered | Outcome::Refused) {
+            self.was_reached.set(true);
+        }
         let mut health = self.health.borrow_mut();
         let was_up = health.is_up();
         health.record(policy, outcome, now);
@@ -279,6 +285,11 @@
         self.health.borrow().is_up()
     }
 
+    /// Returns whether the endpoint has accepted a connection or responded before.
+    pub(crate) fn was_reached(&self) -> bool {
+        self.was_reached.get()
+    }
+
     /// Returns the numbers of successes and failures of this gateway's recent
     /// requests.
     pub(crate) fn tally(&self, now: Millis) -> Tally {
@@ -338,6 +349,16 @@
         }
     }
 
+    /// Tries to connect to the endpoint, and records whether that succeeds; returns it.
+    pub(crate) async fn try_once(&self, policy: &PolicySettings) -> bool {
+        let is_reached = self.pool.try_connect().await;
+        match is_reached {
+            true => self.was_reached.set(true),
+            false => self.record_outcome(policy, Outcome::Unreachable, self.clock.now()),
+        }
+        is_reached
+    }
+
     /// Probes the endpoint with a connection, if it is down and due for a
     /// probe.
     pub(crate) async fn probe(&self, now: Millis) {
@@ -345,6 +366,7 @@
             return;
         }
         if self.pool.try_connect().await {
+            self.was_reached.set(true);
             self.health.borrow_mut().mark_reachable();
             spdlog::info!("health: endpoint={} up=true cause=connected", self.id());
         }
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -55,7 +55,7 @@
 fn count_reach<'a>(handles: impl Iterator<Item = &'a Rc<EndpointHandle>>) -> Reach {
     let mut reach = Reach::default();
     for handle in handles.filter(|it| it.is_ready()) {
-        reach.add(handle.is_reachable());
+        reach.add(handle.is_reachable(), handle.was_reached());
     }
     reach
 }
@@ -65,7 +65,7 @@
     let mut builds: BTreeMap<u64, Reach> = BTreeMap::new();
     for handle in handles.iter().filter(|it| it.is_ready()) {
         let key = handle.endpoint.borrow().build_key();
-        builds.entry(key).or_default().add(handle.is_reachable());
+        builds.entry(key).or_default().add(handle.is_reachable(), handle.was_reached());
     }
     builds
 }
@@ -139,6 +139,13 @@
         self.by_service.get(service).map_or(&[], |it| it.as_slice())
     }
 
+    /// Returns the services of which this gateway has reached no endpoint yet, or none any more.
+    pub(crate) fn unproven_services(&self) -> Vec<Name> {
+        let is_unproven =
+            |it: &&Name| self.reach_of(&EndpointGroup::of_service(Name::clone(it))).is_unproven();
+        self.services().filter(is_unproven).cloned().collect()
+    }
+
     /// Iterates over the services that have endpoints.
     pub(crate) fn services(&self) -> impl Iterator<Item = &Name> {
         self.by_service.keys()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -211,9 +211,10 @@
             && self.endpoints.borrow().any_ready()
     }
 
-    /// Returns whether this gateway reaches none of the endpoints that accept requests.
+    /// Returns whether this gateway cannot say that it reaches any of the endpoints that accept
+    /// requests.
     pub(crate) fn is_cut_off(&self) -> bool {
-        self.endpoint_table.borrow().count_ready().is_cut_off()
+        self.endpoint_table.borrow().count_ready().is_unproven()
     }
 
     /// Returns whether the store or a peer has confirmed the configuration
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -119,11 +119,12 @@
     }
 }
 
-/// Returns the numbers of the groups that this gateway reaches no endpoint of, services first.
+/// Returns the numbers of the groups of which this gateway cannot say that it reaches an
+/// endpoint, services first.
 fn unreached_numbers(table: &EndpointTable) -> Vec<u32> {
-    let unreached = table.unreached_groups();
-    let (services, builds): (Vec<_>, Vec<_>) = unreached.keys().partition(|it| it.build.is_none());
-    services.into_iter().chain(builds).take(MAX_UNREACHED).map(EndpointGroup::number).collect()
+    let services = table.unproven_services().into_iter().map(EndpointGroup::of_service);
+    let builds = table.unreached_groups().into_keys().filter(|it| it.build.is_some());
+    services.chain(builds).take(MAX_UNREACHED).map(|it| it.number()).collect()
 }
 
 async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future::join_all;
 use mimosaledge_core::{Name, hash::hash64};
-use mimosaledge_policy::{EndpointGroup, Reach, health::Outcome};
+use mimosaledge_policy::{EndpointGroup, Reach};
 use tokio::task::spawn_local;
 
 use crate::{endpoint_handle::EndpointHandle, gateway::Gateway};
@@ -30,7 +30,8 @@
     spawn_local(async move { check(&gateway, &service).await });
 }
 
-/// Starts the probes that are due of endpoints that are not available.
+/// Starts the probes that are due of endpoints that are not available, and tries one endpoint of
+/// each service of which none has been reached yet.
 pub(crate) fn start_probes(gateway: &Gateway) {
     let now = gateway.now();
     let table = gateway.endpoint_table.borrow();
@@ -38,6 +39,16 @@
         let handle = handle.clone();
         spawn_local(async move { handle.probe(now).await });
     }
+    for service in table.unproven_services() {
+        let available: Vec<_> =
+            table.of_service(&service).iter().filter(|it| it.is_available()).collect();
+        // Gateways that start together try different endpoints.
+        let salt = hash64(gateway.settings.name.as_bytes()) ^ now.0;
+        if let Some(handle) = available.get(salt as usize % available.len().max(1)) {
+            let (handle, policy) = ((*handle).clone(), gateway.settings.policy);
+            spawn_local(async move { handle.try_once(&policy).await });
+        }
+    }
 }
 
 /// Tries a few endpoints of a service, and all if none of these can be reached; if none can at
@@ -121,9 +132,7 @@
 /// Tries to connect to all of `handles`, and records those that cannot be reached; returns
 /// the number of the others.
 async fn try_all(gateway: &Gateway, handles: &[Rc<EndpointHandle>]) -> usize {
-    let results = join_all(handles.iter().map(|it| it.pool.try_connect())).await;
-    for (handle, _) in handles.iter().zip(&results).filter(|(_, is_reached)| !**is_reached) {
-        handle.record_outcome(&gateway.settings.policy, Outcome::Unreachable, gateway.now());
-    }
+    let policy = &gateway.settings.policy;
+    let results = join_all(handles.iter().map(|it| it.try_once(policy))).await;
     results.into_iter().filter(|it| *it).count()
 }
