Believe that a request has not run only with its own ID

A refusal without attempt ID was still believed on a connection that had carried no response before. An earlier refusal can hardly come from there, but the promise costs a second run when it is wrong, and endpoints echo the ID in their refusals.

A refusal or misdirection without the ID is now taken for unknown on any connection; other responses without ID are accepted on new connections as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -180,7 +180,7 @@
 /// Returns whether a response is that of the attempt.
 ///
 /// A copy of an earlier response, also of a refusal, may arrive late, on a connection that is in
-/// use again.
+/// use again. That a request has not run is believed only with its ID.
 fn is_own_response(
     context: &RequestContext,
     connection: &Connection,
@@ -188,7 +188,7 @@
 ) -> bool {
     match &metadata.attempt_id {
         Some(id) => *id == context.metadata.attempt_id,
-        None => !connection.is_reused(),
+        None => !connection.is_reused() && !metadata.not_run,
     }
 }
 
