Record builds only where all are known

The fleet was lost twice within 2.4 s, before any build was recorded. The gateways that started then rightly rejected streams of unknown build, but recorded the build they saw; one that started some seconds later read that record as the whole truth.

A gateway writes the builds of a service only if it knows all of them. And it waits for four checks only at the first start of the fleet, when there is nothing else to tell who writes: 0.5 s later, so that fewer builds go unrecorded.

Test: process_that_does_not_know_all_builds_records_none.

--- a/crates/gateway/src/build_records.rs
+++ b/crates/gateway/src/build_records.rs
@@ -15,9 +15,10 @@
 
 /// Interval between two comparisons of the records with the builds that are known.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Number of checks in a row that must select this gateway before it writes; gateways that start
-/// together know each other by then.
-const MIN_SELECTIONS: u32 = 4;
+/// Number of checks in a row that must select this gateway before it writes when the fleet starts
+/// for the first time; the gateways know each other by then. Later there is mostly nothing to
+/// write.
+const FIRST_SELECTIONS: u32 = 4;
 
 /// What the store holds, as of an era.
 struct Recorded {
@@ -30,6 +31,7 @@
 pub(crate) async fn run(gateway: Rc<Gateway>) {
     let mut cursor = Cursor::new(Topic::Builds);
     let mut recorded = None;
+    let min_selections = if gateway.settings.first_start { FIRST_SELECTIONS } else { 1 };
     let mut selections = 0;
     if !gateway.settings.first_start {
         recorded = Some(read_until_done(&gateway, &mut cursor).await);
@@ -42,7 +44,7 @@
             continue;
         }
         selections += 1;
-        if selections < MIN_SELECTIONS {
+        if selections < min_selections {
             continue;
         }
         let known = match recorded.take().filter(|it| it.era == gateway.era()) {
@@ -83,8 +85,11 @@
 /// Writes the builds that are new, and removes those that count no longer; returns what is
 /// recorded then.
 async fn update(gateway: &Gateway, cursor: &mut Cursor, mut recorded: Recorded) -> Recorded {
-    let recent = gateway.builds.borrow().recent(gateway.now());
-    let changed: Vec<BuildId> = recent.symmetric_difference(&recorded.builds).cloned().collect();
+    let now = gateway.now();
+    let recent = gateway.builds.borrow().recent(now);
+    let new = gateway.builds.borrow().recordable(now);
+    let gone = recorded.builds.difference(&recent);
+    let changed: Vec<BuildId> = new.difference(&recorded.builds).chain(gone).cloned().collect();
     for id in changed {
         let is_recent = recent.contains(&id);
         if let Err(err) = write(gateway, &id, is_recent).await {
--- a/crates/policy/src/builds.rs
+++ b/crates/policy/src/builds.rs
@@ -95,6 +95,14 @@
         Some(&self.by_service.get(service)?.get(&key)?.name)
     }
 
+    /// Returns the builds that count, of services of which all are known: a record of others
+    /// would look as if there had been no more.
+    pub fn recordable(&self, now: Millis) -> HashSet<BuildId> {
+        let mut builds = self.recent(now);
+        builds.retain(|it| self.is_complete(&it.service, now));
+        builds
+    }
+
     /// Returns the builds that count.
     pub fn recent(&self, now: Millis) -> HashSet<BuildId> {
         let mut recent = HashSet::new();
--- a/crates/policy/tests/builds.rs
+++ b/crates/policy/tests/builds.rs
@@ -89,6 +89,16 @@
         builds.remember(&BuildId { service: "desk".into(), build: "v1".into() }, Millis(0));
         assert_eq!(builds.only_build("app", Millis(0)), None);
     };
+    // Guards against a record from which a third process concludes that there was no other
+    // build (ORDER).
+    process_that_does_not_know_all_builds_records_none => {
+        let mut builds = Builds::new(false);
+        record(&mut builds, &["v2"], 0);
+        assert!(builds.recordable(Millis(0)).is_empty());
+        assert_eq!(builds.recordable(Millis(RETENTION_MS)), [id("v2")].into());
+        builds.remember(&id("v1"), Millis(500));
+        assert_eq!(builds.recordable(Millis(500)), [id("v1"), id("v2")].into());
+    };
     process_that_has_run_for_long_knows_by_itself => {
         let mut builds = Builds::new(false);
         record(&mut builds, &["v1"], 1_000);
