--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,6 +7,8 @@
 
 MACHINES, STREAMS, NEW, EVENTS, INTERVAL_S = 9, 240, 40, 50, 0.1
 DEADLINE_MS, TRIES = 15000, 3
+# KILLED=all kills the ninth machine as well; all are back after DOWN_S.
+KILL_ALL, DOWN_S, CONTACT_S = os.environ.get("KILLED") == "all", 1.0, 3.0
 
 
 async def stream(server, run, writer):
@@ -99,16 +101,26 @@
              for number, client in enumerate(clients)]
     await asyncio.sleep(2)
     if trouble:
-        for gateway in killed:
+        for gateway in gateways if KILL_ALL else killed:
             gateway.signal(signal.SIGKILL)
     else:  # the clients' connections break, the machines live on
         for client in clients:
             s.reset(client.writer)
     await asyncio.wait(first)
+    if trouble and KILL_ALL:
+        await asyncio.sleep(DOWN_S)
+        for gateway in gateways:
+            await gateway.start(False)
+        for gateway in gateways:
+            await gateway.wait_ready()
+        await asyncio.sleep(CONTACT_S)  # the machines are in touch again
     begun = [it for it in clients if it.seen and len(it.seen) < EVENTS]
     fresh = [Client(900 + number, record) for number in range(NEW)]
-    again = [asyncio.create_task(it.take_up(survivor)) for it in begun]
-    new = [asyncio.create_task(it.attempt(survivor, {})) for it in fresh]
+    alive = gateways if KILL_ALL else [survivor]
+    again = [asyncio.create_task(it.take_up(alive[number % len(alive)]))
+             for number, it in enumerate(begun)]
+    new = [asyncio.create_task(it.attempt(alive[number % len(alive)], {}))
+           for number, it in enumerate(fresh)]
     went_on = sum(await asyncio.gather(*again))
     began = sum(status == 200 for status, _, _ in await asyncio.gather(*new))
     mixed = sum(len({version for _, version in it.seen}) > 1 for it in clients)
