--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -23,6 +23,8 @@
     peer_prefix_requests: HashMap<u32, u32>,
     /// The peers' outcomes, by truncated node number.
     peer_outcomes: HashMap<u32, Tally>,
+    /// Number of peers that the counts are from.
+    peer_count: usize,
     /// Mean age of the peers' counts when they were set, in milliseconds.
     peer_age_ms: u64,
     /// When the peers' counts were set.
@@ -68,15 +70,17 @@
         if self.is_sampled { LARGE_FLEET_MAX_REPORT_AGE_MS } else { MAX_REPORT_AGE_MS }
     }
 
-    /// Replaces the totals of the peers' requests in flight, which were counted
-    /// `mean_age_ms` ago on average.
+    /// Replaces the totals of the peers' requests in flight, each peer's of which were counted
+    /// at one of the times `counted_at`.
     pub(crate) fn set_peer_requests<'a>(
         &mut self,
         reported: impl Iterator<Item = &'a RequestCount>,
-        mean_age_ms: u64,
+        counted_at: &[Millis],
         now: Millis,
     ) {
-        self.peer_age_ms = mean_age_ms;
+        let total_age_ms: u64 = counted_at.iter().map(|it| now.since(*it)).sum();
+        self.peer_count = counted_at.len();
+        self.peer_age_ms = total_age_ms / counted_at.len().max(1) as u64;
         self.peers_set_at = now;
         self.peer_endpoint_requests.clear();
         self.peer_prefix_requests.clear();
@@ -108,6 +112,11 @@
         self.peer_age_ms + now.since(self.peers_set_at)
     }
 
+    /// Returns what the peers' counts are based on, as fields of a log line.
+    pub(crate) fn log_fields(&self, now: Millis) -> String {
+        format!("peers={} counts_age_ms={}", self.peer_count, self.peer_age_ms(now))
+    }
+
     /// Returns the number of the peers' requests in flight at an endpoint.
     pub(crate) fn peer_requests(&self, node: u64) -> u32 {
         self.peer_endpoint_requests.get(&(node as u32)).copied().unwrap_or(0)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -167,10 +167,9 @@
             return;
         }
         loads.set_sampled(self.is_large());
-        let ages: Vec<u64> = self.live_peers(now).map(|(_, it)| now.since(it.heard_at)).collect();
-        let mean_age_ms = ages.iter().sum::<u64>() / ages.len().max(1) as u64;
+        let counted_at: Vec<Millis> = self.live_peers(now).map(|(_, it)| it.heard_at).collect();
         let requests = self.live_peers(now).flat_map(|(_, it)| &it.request_counts);
-        loads.set_peer_requests(requests, mean_age_ms, now);
+        loads.set_peer_requests(requests, &counted_at, now);
         loads.set_peer_outcomes(self.live_peers(now).flat_map(|(_, it)| &it.outcomes));
     }
 
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -173,12 +173,13 @@
         if least_load >= limit {
             spdlog::info!(
                 "place: id={} route={} overloaded=true least_load={least_load} limit={limit} open={} \
-                 known={} sent={} config={} list_age_ms={}",
+                 known={} sent={} {} config={} list_age_ms={}",
                 context.metadata.attempt_id,
                 context.route().name,
                 available.len(),
                 known.len(),
                 retry_state.sends.sent,
+                loads.log_fields(now),
                 gateway.config_version(),
                 gateway.list_age_ms()
             );
@@ -196,7 +197,7 @@
     let (handle, candidate) = &available[index];
     spdlog::info!(
         "place: id={} route={} endpoint={} build={} load={:.1} near={} failing={:.2} refusing={:.2} open={} \
-         known={} sent={} config={} list_age_ms={}",
+         known={} sent={} {} config={} list_age_ms={}",
         context.metadata.attempt_id,
         context.route().name,
         handle.id(),
@@ -208,6 +209,7 @@
         available.len(),
         known.len(),
         retry_state.sends.sent,
+        loads.log_fields(now),
         gateway.config_version(),
         gateway.list_age_ms()
     );
