policy: decide on the load limit and the endpoint in one place

`placement::place` does both. No change of behaviour; the `place` line names the engines below the limit as `admitting`, and `open` is now the same number in placed and rejected requests.

--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -7,7 +7,7 @@
 use mimosaledge_policy::{
     RetryPolicy,
     admission::{self, Progress},
-    placement::{self, Candidate, Prefix},
+    placement::{self, Placement, Prefix},
     prefix_cache,
 };
 
@@ -162,21 +162,22 @@
     let untried = known.iter().filter(|it| it.is_open(claims.of(it)) && retry_state.allows(it));
     let untried = claims.filter(untried.cloned().collect());
     let candidates = endpoint_table::to_candidates(&untried, &gateway.settings, &loads, now);
-    let mut available: Vec<(Rc<EndpointHandle>, Candidate)> =
-        untried.into_iter().zip(candidates).collect();
-    if available.is_empty() {
-        return Err(Selection::Unavailable(Unavailable::NoEndpoint));
-    }
-    if let Some(slots) = batch_slots(gateway, context) {
-        let limit = admission::load_limit(policy, slots, context.authorized.priority, progress);
-        let least_load = available.iter().map(|(_, it)| it.load).fold(f64::MAX, f64::min);
-        if least_load >= limit {
+    let limit = batch_slots(gateway, context)
+        .map(|slots| admission::load_limit(policy, slots, context.authorized.priority, progress));
+    let hash = hash64(context.metadata.attempt_id.as_bytes());
+    let running = |key| f64::from(loads.count_with_prefix(key) + 1);
+    let prefix = context.prefix.map(|key| Prefix { key, running: running(key) });
+    let (index, admitting) = match placement::place(policy, limit, prefix, &candidates, hash) {
+        Placement::Candidate { index, admitting } => (index, admitting),
+        Placement::NoCandidate => return Err(Selection::Unavailable(Unavailable::NoEndpoint)),
+        Placement::Overloaded { least_load } => {
             spdlog::info!(
-                "place: id={} route={} overloaded=true least_load={least_load} limit={limit} open={} \
+                "place: id={} route={} overloaded=true least_load={least_load} limit={} open={} \
                  known={} sent={} {} config={} list_age_ms={}",
                 context.metadata.attempt_id,
                 context.route().name,
-                available.len(),
+                limit.unwrap_or_default(),
+                untried.len(),
                 known.len(),
                 retry_state.sends.sent,
                 loads.log_fields(now),
@@ -185,19 +186,11 @@
             );
             return Err(Selection::Overloaded);
         }
-        available.retain(|(_, it)| it.load < limit);
-    }
-    let candidates: Vec<Candidate> = available.iter().map(|(_, it)| *it).collect();
-    let hash = hash64(context.metadata.attempt_id.as_bytes());
-    let running = |key| f64::from(loads.count_with_prefix(key) + 1);
-    let prefix = context.prefix.map(|key| Prefix { key, running: running(key) });
-    let Some(index) = placement::choose(policy, prefix, &candidates, hash) else {
-        return Err(Selection::Unavailable(Unavailable::NoEndpoint));
     };
-    let (handle, candidate) = &available[index];
+    let (handle, candidate) = (&untried[index], candidates[index]);
     spdlog::info!(
-        "place: id={} route={} endpoint={} build={} load={:.1} near={} failing={:.2} refusing={:.2} open={} \
-         known={} sent={} {} config={} list_age_ms={}",
+        "place: id={} route={} endpoint={} build={} load={:.1} near={} failing={:.2} refusing={:.2} \
+         admitting={admitting} open={} known={} sent={} {} config={} list_age_ms={}",
         context.metadata.attempt_id,
         context.route().name,
         handle.id(),
@@ -206,7 +199,7 @@
         candidate.is_local,
         candidate.failure_rate,
         candidate.refusal_rate,
-        available.len(),
+        untried.len(),
         known.len(),
         retry_state.sends.sent,
         loads.log_fields(now),
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -59,6 +59,48 @@
     pub running: f64,
 }
 
+/// Where a request is placed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Placement {
+    /// At one of the candidates.
+    Candidate {
+        /// Its index.
+        index: usize,
+        /// Number of candidates below their load limit.
+        admitting: usize,
+    },
+    /// Nowhere: every candidate is at its load limit.
+    Overloaded {
+        /// Load of the least loaded one.
+        least_load: f64,
+    },
+    /// Nowhere: there is no candidate.
+    NoCandidate,
+}
+
+/// Places a request at one of `candidates` whose load is below `limit`, if they have one.
+///
+/// `prefix` and `random` are as for [`choose`].
+pub fn place(
+    settings: &PolicySettings,
+    limit: Option<f64>,
+    prefix: Option<Prefix>,
+    candidates: &[Candidate],
+    random: u64,
+) -> Placement {
+    let limit = limit.unwrap_or(f64::INFINITY);
+    let below: Vec<usize> =
+        (0..candidates.len()).filter(|it| candidates[*it].load < limit).collect();
+    let admitting: Vec<Candidate> = below.iter().map(|it| candidates[*it]).collect();
+    match choose(settings, prefix, &admitting, random) {
+        Some(index) => Placement::Candidate { index: below[index], admitting: below.len() },
+        None if candidates.is_empty() => Placement::NoCandidate,
+        None => Placement::Overloaded {
+            least_load: candidates.iter().map(|it| it.load).fold(f64::MAX, f64::min),
+        },
+    }
+}
+
 /// Chooses the endpoint for a request; returns its index in `candidates`.
 ///
 /// `prefix` is the prompt prefix, if the request has one that engines cache;
