Admit the share of requests for which the engines have room

What callers saw: in a surge beyond what the engines can run, 3 to 4 in 100 requests reached engines that held over twice the mean (LIMIT); these fell silent, while others had room.

Cause: each gateway compares the load it knows of an engine with the limit, and sends there until its own view says full. The view misses what the other gateways have sent since their last heartbeats. With 5 of 60 engines below the limit and 79 gateways whose heartbeats come in step, all requests of a second went to these five: 100 requests in flight became 190 to 260. Then all gateways saw full engines and rejected everything for as long. Class: a limit that many check against state that is older than the time in which they fill it.

Ruled out: lost or late heartbeats (78 peers counted at all times), a few gateways with other views (all alike), a mean over too few engines.

Fix: a gateway estimates the requests that arrive at all gateways within the age of the counts from its own rate, and what has ended at the engines meanwhile; it admits the share for which there is room, and passes over engines with less room than the others. Below capacity the share is 1 and nothing changes.

--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -325,7 +325,7 @@
     }
 
     /// Returns the last load that the endpoint reported.
-    fn report(&self, now: Millis) -> Option<Report> {
+    pub(crate) fn report(&self, now: Millis) -> Option<Report> {
         let reported = self.reported.get()?;
         Some(Report { load: reported.load.into(), age_ms: now.since(reported.at) })
     }
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -12,6 +12,7 @@
     Endpoint, EndpointGroup, Reach,
     load::{self, Counts, MeanDuration},
     placement::Candidate,
+    unreported::Unreported,
 };
 
 use crate::{
@@ -25,18 +26,15 @@
 /// Returns endpoints of one service as candidates for placement.
 ///
 /// The load of each is the greater of the estimate from the requests of all
-/// gateways and the load that it recently reported.
+/// gateways and the load that it recently reported. `remaining_share` of the requests
+/// that other gateways have reported are still in flight.
 pub(crate) fn to_candidates(
     handles: &[Rc<EndpointHandle>],
     settings: &Settings,
     loads: &Loads,
+    remaining_share: f64,
     now: Millis,
 ) -> Vec<Candidate> {
-    let Some(first) = handles.first() else { return Vec::new() };
-    let remaining_share = match settings.policy.age_loads {
-        true => first.mean_duration().remaining_share(loads.peer_age_ms(now)),
-        false => 1.0,
-    };
     let counts: Vec<Counts> = handles
         .iter()
         .map(|it| Counts {
@@ -52,6 +50,34 @@
         .collect()
 }
 
+/// Estimates the requests that the loads of a service's endpoints do not include yet.
+pub(crate) fn estimate_unreported(
+    service: &str,
+    handles: &[Rc<EndpointHandle>],
+    settings: &Settings,
+    loads: &Loads,
+    now: Millis,
+) -> Unreported {
+    let age_ms = loads_age_ms(handles, loads, now);
+    let remaining_share = match handles.first() {
+        Some(first) if settings.policy.age_loads => first.mean_duration().remaining_share(age_ms),
+        _ => 1.0,
+    };
+    let own_per_ms = loads.arrivals_per_ms(service, now);
+    Unreported::estimate(own_per_ms, loads.peer_count(), age_ms, remaining_share)
+}
+
+/// Returns the mean age of the known loads, in milliseconds: that of the peers' counts, or in
+/// a large fleet that of what the endpoints have reported.
+fn loads_age_ms(handles: &[Rc<EndpointHandle>], loads: &Loads, now: Millis) -> u64 {
+    if !loads.is_sampled() {
+        return loads.peer_age_ms(now);
+    }
+    let ages = handles.iter().filter_map(|it| it.report(now)).map(|it| it.age_ms);
+    let recent: Vec<u64> = ages.filter(|it| *it < loads.max_report_age_ms()).collect();
+    recent.iter().sum::<u64>() / recent.len().max(1) as u64
+}
+
 fn count_reach<'a>(handles: impl Iterator<Item = &'a Rc<EndpointHandle>>) -> Reach {
     let mut reach = Reach::default();
     for handle in handles.filter(|it| it.is_ready()) {
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -2,9 +2,10 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use mimosaledge_core::Millis;
+use mimosaledge_core::{Millis, Name};
 use mimosaledge_peer::{Outcomes, RequestCount};
 use mimosaledge_policy::{
+    arrival_rate::ArrivalRate,
     health::Tally,
     load::{LARGE_FLEET_MAX_REPORT_AGE_MS, MAX_REPORT_AGE_MS},
 };
@@ -30,6 +31,8 @@
     /// When the peers' counts were set.
     peers_set_at: Millis,
     is_sampled: bool,
+    /// Requests that this gateway has to place, by service.
+    arrivals: HashMap<Name, ArrivalRate>,
 }
 
 impl Loads {
@@ -64,6 +67,27 @@
         self.is_sampled = is_sampled;
     }
 
+    /// Returns whether the loads of endpoints are estimated from what they report.
+    pub(crate) fn is_sampled(&self) -> bool {
+        self.is_sampled
+    }
+
+    /// Records that a request for a service has to be placed.
+    pub(crate) fn record_arrival(&mut self, service: &Name, now: Millis) {
+        self.arrivals.entry(service.clone()).or_default().record(now);
+    }
+
+    /// Returns the number of requests for a service that this gateway has to place per
+    /// millisecond.
+    pub(crate) fn arrivals_per_ms(&self, service: &str, now: Millis) -> f64 {
+        self.arrivals.get(service).copied().unwrap_or_default().per_ms(now)
+    }
+
+    /// Returns the number of peers whose requests are counted.
+    pub(crate) fn peer_count(&self) -> usize {
+        self.peer_count
+    }
+
     /// Returns the age up to which the load that an endpoint reported is used,
     /// in milliseconds.
     pub(crate) fn max_report_age_ms(&self) -> u64 {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -7,7 +7,7 @@
 use mimosaledge_policy::{
     RetryPolicy,
     admission::{self, Progress},
-    placement::{self, Placement, Prefix},
+    placement::{self, LoadLimit, Placement, Prefix},
     prefix_cache,
 };
 
@@ -107,6 +107,7 @@
     if retry_state.has_tried() && quarantine::find_refusal(gateway, context).is_some() {
         return Selection::Unavailable(Unavailable::Quarantined);
     }
+    gateway.loads.borrow_mut().record_arrival(&context.service, gateway.now());
     let mut denied_permits = 0;
     let (handle, permit) = loop {
         if context.remaining_ms(gateway.now()) < MIN_REMAINING_MS {
@@ -161,22 +162,29 @@
     let known = table.of_service(&context.service);
     let untried = known.iter().filter(|it| it.is_open(claims.of(it)) && retry_state.allows(it));
     let untried = claims.filter(untried.cloned().collect());
-    let candidates = endpoint_table::to_candidates(&untried, &gateway.settings, &loads, now);
-    let limit = batch_slots(gateway, context)
-        .map(|slots| admission::load_limit(policy, slots, context.authorized.priority, progress));
+    let settings = &gateway.settings;
+    let unreported =
+        endpoint_table::estimate_unreported(&context.service, &untried, settings, &loads, now);
+    let remaining_share = unreported.remaining_share;
+    let candidates =
+        endpoint_table::to_candidates(&untried, settings, &loads, remaining_share, now);
+    let limit = batch_slots(gateway, context).map(|slots| LoadLimit {
+        limit: admission::load_limit(policy, slots, context.authorized.priority, progress),
+        unreported,
+    });
     let hash = hash64(context.metadata.attempt_id.as_bytes());
     let running = |key| f64::from(loads.count_with_prefix(key) + 1);
     let prefix = context.prefix.map(|key| Prefix { key, running: running(key) });
     let (index, admitting) = match placement::place(policy, limit, prefix, &candidates, hash) {
         Placement::Candidate { index, admitting } => (index, admitting),
         Placement::NoCandidate => return Err(Selection::Unavailable(Unavailable::NoEndpoint)),
-        Placement::Overloaded { least_load } => {
+        Placement::Overloaded { least_load, share } => {
             spdlog::info!(
-                "place: id={} route={} overloaded=true least_load={least_load} limit={} open={} \
-                 known={} sent={} {} config={} list_age_ms={}",
+                "place: id={} route={} overloaded=true least_load={least_load:.1} limit={:.1} \
+                 share={share:.2} open={} known={} sent={} {} config={} list_age_ms={}",
                 context.metadata.attempt_id,
                 context.route().name,
-                limit.unwrap_or_default(),
+                limit.map(|it| it.limit).unwrap_or_default(),
                 untried.len(),
                 known.len(),
                 retry_state.sends.sent,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`events`] | splitting of event streams |
 
 pub mod admission;
+pub mod arrival_rate;
 mod build_id;
 pub mod builds;
 pub mod concurrency;
@@ -52,6 +53,7 @@
 pub mod settings;
 mod sound_parts;
 pub mod stream_origins;
+pub mod unreported;
 pub mod version_follower;
 
 pub use crate::{
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -12,7 +12,10 @@
 
 use mimosaledge_core::hash::{hash64, rendezvous_score};
 
-use crate::settings::PolicySettings;
+use crate::{settings::PolicySettings, unreported::Unreported};
+
+/// Distinguishes the random number that admits a request from those that choose the endpoint.
+const ADMISSION_SALT: u64 = 0x61646d69;
 
 /// An endpoint that may be chosen for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -45,8 +48,7 @@
         if !settings.avoid_refusals {
             return false;
         }
-        let random = hash64(&(random ^ self.node).to_le_bytes());
-        ((random >> 11) as f64 / (1u64 << 53) as f64) < self.refusal_rate
+        to_unit(random ^ self.node) < self.refusal_rate
     }
 }
 
@@ -69,38 +71,69 @@
         /// Number of candidates below their load limit.
         admitting: usize,
     },
-    /// Nowhere: every candidate is at its load limit.
+    /// Nowhere: the candidates have no room for it.
     Overloaded {
         /// Load of the least loaded one.
         least_load: f64,
+        /// Share of such requests for which there is room.
+        share: f64,
     },
     /// Nowhere: there is no candidate.
     NoCandidate,
 }
 
-/// Places a request at one of `candidates` whose load is below `limit`, if they have one.
+/// Limit of an engine's load, and what is known of requests that count towards it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadLimit {
+    /// Load at which an engine admits no more requests.
+    pub limit: f64,
+    /// What its load does not include yet.
+    pub unreported: Unreported,
+}
+
+/// Places a request at one of `candidates` whose load is below the limit, if they have one.
 ///
+/// If the requests of all gateways do not fit there, only a share of them is placed.
 /// `prefix` and `random` are as for [`choose`].
 pub fn place(
     settings: &PolicySettings,
-    limit: Option<f64>,
+    limit: Option<LoadLimit>,
     prefix: Option<Prefix>,
     candidates: &[Candidate],
     random: u64,
 ) -> Placement {
-    let limit = limit.unwrap_or(f64::INFINITY);
-    let below: Vec<usize> =
-        (0..candidates.len()).filter(|it| candidates[*it].load < limit).collect();
-    let admitting: Vec<Candidate> = below.iter().map(|it| candidates[*it]).collect();
-    match choose(settings, prefix, &admitting, random) {
-        Some(index) => Placement::Candidate { index: below[index], admitting: below.len() },
+    let admitting: Vec<usize> = match limit {
+        Some(it) => (0..candidates.len()).filter(|at| candidates[*at].load < it.limit).collect(),
+        None => (0..candidates.len()).collect(),
+    };
+    let mut below: Vec<Candidate> = admitting.iter().map(|it| candidates[*it]).collect();
+    let share = limit.map_or(1.0, |it| share_room(&it, &mut below));
+    let is_admitted = to_unit(random ^ ADMISSION_SALT) < share;
+    match choose(settings, prefix, &below, random).filter(|_| is_admitted) {
+        Some(index) => Placement::Candidate { index: admitting[index], admitting: admitting.len() },
         None if candidates.is_empty() => Placement::NoCandidate,
         None => Placement::Overloaded {
             least_load: candidates.iter().map(|it| it.load).fold(f64::MAX, f64::min),
+            share,
         },
     }
 }
 
+/// Returns the share of requests for which engines below the limit have room; sets how often
+/// one is passed over since it has less room than the others.
+fn share_room(limit: &LoadLimit, below: &mut [Candidate]) -> f64 {
+    let unreported = limit.unreported;
+    let rooms: Vec<f64> = below.iter().map(|it| unreported.room(it.load, limit.limit)).collect();
+    let share = unreported.admitted_share(rooms.iter().sum());
+    let mean_arrivals = unreported.arrived * share / below.len() as f64;
+    for (candidate, room) in below.iter_mut().zip(rooms) {
+        if room < mean_arrivals {
+            candidate.refusal_rate = candidate.refusal_rate.max(1.0 - room / mean_arrivals);
+        }
+    }
+    share
+}
+
 /// Chooses the endpoint for a request; returns its index in `candidates`.
 ///
 /// `prefix` is the prompt prefix, if the request has one that engines cache;
@@ -207,3 +240,8 @@
 fn min_failure_rate(candidates: &[Candidate]) -> f64 {
     candidates.iter().map(|it| it.failure_rate).fold(1.0, f64::min)
 }
+
+/// Returns a number from 0 to 1 that is uniform over values of `random`.
+fn to_unit(random: u64) -> f64 {
+    (hash64(&random.to_le_bytes()) >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/policy/src/unreported.rs
@@ -0,0 +1,45 @@
+//! Requests that gateways admit without knowing of each other's.
+//!
+//! A gateway learns of the requests of others some time after they were sent. If all of
+//! them filled the room that each believes to be left at the engines, an engine would be
+//! sent as many times its room as there are gateways. Each gateway therefore admits only
+//! as large a share of its requests as there is room for the requests of all.
+
+/// What has happened at a service since the other gateways reported their requests in
+/// flight.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Unreported {
+    /// Requests that have arrived at all gateways.
+    pub arrived: f64,
+    /// Share of the reported requests that are still in flight, from 0 to 1.
+    pub remaining_share: f64,
+}
+
+impl Unreported {
+    /// Estimates the arrivals at all gateways from those at one, `own_per_ms`, if the
+    /// `peers` others reported their requests `age_ms` ago.
+    pub fn estimate(
+        own_per_ms: f64,
+        peers: usize,
+        age_ms: u64,
+        remaining_share: f64,
+    ) -> Unreported {
+        Unreported { arrived: own_per_ms * peers as f64 * age_ms as f64, remaining_share }
+    }
+
+    /// Returns the requests that fit an engine of this load and load limit.
+    pub fn room(&self, load: f64, limit: f64) -> f64 {
+        (limit - load * self.remaining_share).max(0.0)
+    }
+
+    /// Returns the share of requests that are admitted if there is room for this many.
+    pub fn admitted_share(&self, room: f64) -> f64 {
+        if self.arrived <= room { 1.0 } else { room / self.arrived }
+    }
+}
+
+impl Default for Unreported {
+    fn default() -> Unreported {
+        Unreported { arrived: 0.0, remaining_share: 1.0 }
+    }
+}
