Continue a stream of unknown origin only with proof that the build is right

Cause: without a record of the stream it went on at the only build known if the list had been confirmed in the last 2.5 s; that nobody answered the one query counted like "nobody knows". It also decided by what had been true before it waited. Class: silence taken for an answer.

Fix: a gateway that is asked for a stream that it does not know says so (a new message, protocol version 4). The stream goes on if more than half of those asked say so and the list is current, or if a complete read of the list was started after the client had come; both show that no build that is not listed can have begun it. Otherwise it is rejected as not run after up to 1.5 s. Heartbeats are no proof: they may have waited in a socket's buffer.

Evidence: `out_of_step` in front of real processes; with the old condition two of its four cases fail, 200 from event 4 on where 503 is expected (1 run at an endpoint that cannot know the stream). All pass now, as do the cases of `builds`. The decision has tests of its own (`origin_search`).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -44,6 +44,7 @@
 pub(crate) async fn follow_endpoints(gateway: Rc<Gateway>) {
     let mut cursor = Cursor::new(Topic::Endpoints);
     loop {
+        let started = gateway.now();
         match cursor.read(&gateway, Duration::ZERO, CALL_TIMEOUT).await {
             Ok(read) if read.position < gateway.endpoints.borrow().position() => {
                 // A stale replica of the store must not revert newer state.
@@ -57,7 +58,11 @@
             }
             Ok(read) => {
                 gateway.mark_list_read();
+                let is_at_end = read.is_complete && !read.is_snapshot;
                 apply_endpoints(&gateway, read);
+                if is_at_end {
+                    gateway.list_read.set(Some(started));
+                }
                 gossip::send_changes(&gateway).await;
                 sleep(LIST_POLL_INTERVAL).await;
                 wait_until_read_due(&gateway).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
     crashing_parts::CrashingParts,
     endpoints::Endpoints,
     history::History,
+    origin_search::OriginSearch,
     prefix_cache::CachedPrefixes,
     retry_budget::RetryBudget,
     stream_origins::{StreamOrigin, StreamOrigins},
@@ -83,7 +84,9 @@
     pub(crate) stream_origins: RefCell<StreamOrigins>,
     /// Origins of streams that began while no other gateway was known.
     pub(crate) unsent_origins: RefCell<Vec<StreamOrigin>>,
-    /// Notified when another gateway has sent the origin of a stream.
+    /// Searches for the origins of streams, by the hash of the attempt that began each.
+    pub(crate) origin_searches: RefCell<HashMap<u64, OriginSearch>>,
+    /// Notified when another gateway has sent the origin of a stream, or does not know it.
     pub(crate) origin_received: Notify,
     pub(crate) forward_table: RefCell<ForwardTable>,
     /// When this gateway last checked which endpoints of a service it reaches.
@@ -97,6 +100,9 @@
     pub(crate) config_confirmed: Cell<Millis>,
     /// When the endpoint list was last known to be current.
     pub(crate) list_confirmed: Cell<Millis>,
+    /// When this gateway last started to read changes of the list from the store, of a read
+    /// that has reached the end.
+    pub(crate) list_read: Cell<Option<Millis>>,
     /// Digest of the endpoint list.
     pub(crate) list_digest: Cell<u64>,
     /// Latest known era of the store; a rise invalidates pending long polls.
@@ -156,6 +162,7 @@
             builds,
             stream_origins: RefCell::default(),
             unsent_origins: RefCell::default(),
+            origin_searches: RefCell::default(),
             origin_received: Notify::new(),
             forward_table: RefCell::default(),
             reach_checked: RefCell::default(),
@@ -165,6 +172,7 @@
             permit_table: RefCell::new(permit_table),
             config_confirmed: Cell::new(Millis(0)),
             list_confirmed: Cell::new(Millis(0)),
+            list_read: Cell::default(),
             list_digest: Cell::new(0),
             era: watch::Sender::new(0),
             has_unsent_summary: Cell::new(false),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -158,6 +158,10 @@
                 origins::answer_query(&gateway, *from.ip(), attempt);
                 continue;
             }
+            Message::OriginUnknown(attempt) => {
+                origins::record_denial(&gateway, *from.ip(), attempt);
+                continue;
+            }
             Message::Suspects(suspects) => {
                 quarantine::apply_reports(&gateway, &suspects, &[], gateway.now());
                 continue;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -5,7 +5,7 @@
 
 use mimosaledge_core::{Name, hash::hash64};
 use mimosaledge_peer::Message;
-use mimosaledge_policy::{Route, stream_origins::StreamOrigin};
+use mimosaledge_policy::{Route, origin_search::OriginSearch, stream_origins::StreamOrigin};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -24,9 +24,11 @@
 const MAX_UNSENT: usize = 1_000;
 /// Time after which a query that may have been lost is sent again.
 const QUERY_INTERVAL: Duration = Duration::from_millis(60);
-/// Number of times that a query is sent if the service has several builds; once if the
-/// only build is known besides.
+/// Number of times that a query is sent.
 const MAX_QUERIES: u32 = 3;
+/// Maximum time to wait for proof that a stream belongs to the only known build; longer than
+/// the interval at which a gateway that hears no other one reads the endpoint list.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Minimum delay after which a client may try again to resume a stream of unknown origin,
 /// and range of the jitter that is added, in milliseconds.
 const RETRY_MS: u64 = 200;
@@ -52,27 +54,24 @@
     metadata: &RequestMetadata,
 ) -> Result<ResumeTarget, ErrorResponse> {
     let started = gateway.now();
-    let only_build = gateway.builds.borrow().only_build(&service, gateway.now());
-    let is_current = gateway.is_list_current();
-    let only_build = only_build.filter(|_| is_current);
-    let max_queries = if only_build.is_some() { 1 } else { MAX_QUERIES };
-    let origin = match metadata.resumed_attempt.as_deref() {
-        Some(attempt_id) => find_origin(gateway, hash64(attempt_id.as_bytes()), max_queries).await,
-        None => None,
-    };
-    let build = origin.map(|it| it.build).or(only_build);
+    // Without the attempt that began it, the others can still show that they hear this gateway.
+    let began = metadata.resumed_attempt.as_deref().unwrap_or(&metadata.attempt_id);
+    let found = find_build(gateway, &service, hash64(began.as_bytes())).await;
+    let build = found.build;
     let service = match build {
         Some(build) => service_of_build(gateway, route, service, build),
         None => service,
     };
     let builds = gateway.builds.borrow();
     spdlog::info!(
-        "stream: id={} resumes={:?} after_event={:?} recorded={} service={service} build={:?} \
-         current={is_current} list_age_ms={} waited_ms={}",
+        "stream: id={} resumes={:?} after_event={:?} recorded={} asked={} denied={} \
+         service={service} build={:?} list_age_ms={} waited_ms={}",
         metadata.attempt_id,
         metadata.resumed_attempt.as_deref(),
         metadata.last_event,
-        origin.is_some(),
+        found.is_recorded,
+        found.asked,
+        found.denials,
         build.and_then(|key| builds.name(&service, key)),
         gateway.list_age_ms(),
         gateway.now().since(started)
@@ -98,26 +97,88 @@
     services.find(|it| builds.name(it, build).is_some()).cloned().unwrap_or(service)
 }
 
-/// Returns the origin of a stream, and asks the gateways that may remember it.
-async fn find_origin(gateway: &Gateway, attempt: u64, max_queries: u32) -> Option<StreamOrigin> {
-    let find = || gateway.stream_origins.borrow().find(attempt);
-    for _ in 0..max_queries {
-        if let Some(origin) = find() {
-            return Some(origin);
-        }
-        let asked = gateway.peers.borrow().stream_holders(attempt, MAX_ASKED, gateway.now());
-        if asked.is_empty() {
-            return None;
+/// The build that began a stream, as far as it was found.
+#[derive(Default)]
+struct FoundBuild {
+    build: Option<u64>,
+    is_recorded: bool,
+    /// Number of other gateways that were asked.
+    asked: usize,
+    /// Number of these that do not know the stream.
+    denials: usize,
+}
+
+/// Finds the build that began the stream of the attempt `attempt`: asks the gateways that may
+/// remember it, or shows that it can only be the one build that the service has had lately.
+async fn find_build(gateway: &Gateway, service: &str, attempt: u64) -> FoundBuild {
+    let recorded = || gateway.stream_origins.borrow().find(attempt).map(|it| it.build);
+    if let Some(build) = recorded() {
+        return FoundBuild { build: Some(build), is_recorded: true, ..FoundBuild::default() };
+    }
+    let asked = gateway.peers.borrow().stream_holders(attempt, MAX_ASKED, gateway.now());
+    let search = ActiveSearch::start(gateway, attempt, &asked);
+    let give_up_at = Instant::now() + SEARCH_TIMEOUT;
+    let mut queries = 0;
+    let found = |build, is_recorded| FoundBuild {
+        build,
+        is_recorded,
+        asked: asked.len(),
+        denials: search.denials(),
+    };
+    loop {
+        if queries < MAX_QUERIES {
+            datagrams::send_now(gateway, Message::OriginQuery(attempt), &asked);
+            queries += 1;
         }
-        datagrams::send_now(gateway, Message::OriginQuery(attempt), &asked);
         let resend_at = Instant::now() + QUERY_INTERVAL;
-        while timeout_at(resend_at, gateway.origin_received.notified()).await.is_ok() {
-            if let Some(origin) = find() {
-                return Some(origin);
+        let mut is_waiting = true;
+        while is_waiting {
+            if let Some(build) = recorded() {
+                return found(Some(build), true);
+            }
+            let only_build = gateway.builds.borrow().only_build(service, gateway.now());
+            if only_build.is_some() && search.is_of_known_build() {
+                return found(only_build, false);
             }
+            is_waiting = timeout_at(resend_at, gateway.origin_received.notified()).await.is_ok();
+        }
+        let has_several = gateway.builds.borrow().only_build(service, gateway.now()).is_none();
+        if (has_several && queries == MAX_QUERIES) || Instant::now() >= give_up_at {
+            return found(recorded(), recorded().is_some());
         }
     }
-    find()
+}
+
+/// A search that other gateways' answers are recorded in until it is dropped.
+struct ActiveSearch<'a> {
+    gateway: &'a Gateway,
+    attempt: u64,
+}
+
+impl ActiveSearch<'_> {
+    fn start<'a>(gateway: &'a Gateway, attempt: u64, asked: &[Ipv4Addr]) -> ActiveSearch<'a> {
+        let search = OriginSearch::new(asked, gateway.now());
+        gateway.origin_searches.borrow_mut().insert(attempt, search);
+        ActiveSearch { gateway, attempt }
+    }
+
+    fn denials(&self) -> usize {
+        self.gateway.origin_searches.borrow().get(&self.attempt).map_or(0, OriginSearch::denials)
+    }
+
+    fn is_of_known_build(&self) -> bool {
+        let is_list_current = self.gateway.is_list_current();
+        let list_read = self.gateway.list_read.get();
+        let searches = self.gateway.origin_searches.borrow();
+        let search = searches.get(&self.attempt);
+        search.is_some_and(|it| it.is_of_known_build(is_list_current, list_read))
+    }
+}
+
+impl Drop for ActiveSearch<'_> {
+    fn drop(&mut self) {
+        self.gateway.origin_searches.borrow_mut().remove(&self.attempt);
+    }
 }
 
 /// Remembers the build of a stream whose first event is about to be forwarded, also at
@@ -153,10 +214,22 @@
     gateway.origin_received.notify_waiters();
 }
 
-/// Sends the origin of a stream to a gateway that has asked for it, if it is known.
+/// Records that a gateway that was asked does not know a stream.
+pub(crate) fn record_denial(gateway: &Gateway, from: Ipv4Addr, attempt: u64) {
+    if let Some(search) = gateway.origin_searches.borrow_mut().get_mut(&attempt) {
+        search.record_denial(from);
+    }
+    gateway.origin_received.notify_waiters();
+}
+
+/// Sends the origin of a stream to a gateway that has asked for it, or that it is unknown here.
 pub(crate) fn answer_query(gateway: &Gateway, from: Ipv4Addr, attempt: u64) {
     let origin = gateway.stream_origins.borrow().find(attempt);
-    if let Some(origin) = origin {
-        datagrams::send_now(gateway, Message::StreamOrigin(origin), &[from]);
+    match origin {
+        Some(origin) => datagrams::send_now(gateway, Message::StreamOrigin(origin), &[from]),
+        None if gateway.peers.borrow().version_of(from).knows_denials() => {
+            datagrams::send_now(gateway, Message::OriginUnknown(attempt), &[from]);
+        }
+        None => {}
     }
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -45,6 +45,8 @@
         /// Whether the endpoint refused the request.
         refused: bool,
     },
+    /// Answers a query for the origin of a stream that the sender does not know.
+    OriginUnknown(u64),
 }
 
 impl Message {
@@ -60,6 +62,7 @@
             | Message::PermitRequest(_)
             | Message::PermitResponse { .. }
             | Message::PermitRelease { .. } => Version::BEFORE_FOOTER,
+            Message::OriginUnknown(_) => Version::ORIGIN_DENIALS,
         }
     }
 }
--- a/crates/peer/src/version.rs
+++ b/crates/peer/src/version.rs
@@ -17,8 +17,10 @@
     /// Heartbeats that name the services and builds that the sender reaches no endpoint of,
     /// hand-overs that name the build of a stream, and records of builds in the store.
     pub const REACH: Version = Version(3);
+    /// Answers to queries for the origin of a stream that the sender does not know.
+    pub const ORIGIN_DENIALS: Version = Version(4);
     /// The version of this build.
-    pub const CURRENT: Version = Version::REACH;
+    pub const CURRENT: Version = Version::ORIGIN_DENIALS;
 
     /// Returns the version with the number `number`, which may be unknown to this build.
     pub(crate) fn from_number(number: u8) -> Version {
@@ -46,6 +48,12 @@
     pub fn knows_builds(self) -> bool {
         self >= Version::REACH
     }
+
+    /// Returns whether a gateway of this version understands that another one does not know
+    /// the origin of a stream.
+    pub fn knows_denials(self) -> bool {
+        self >= Version::ORIGIN_DENIALS
+    }
 }
 
 impl Default for Version {
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -107,6 +107,14 @@
     }
 }
 
+#[test]
+fn denial_of_an_origin_is_sent_only_to_builds_that_know_it() {
+    let denial = Message::OriginUnknown(u64::MAX);
+    assert_eq!(datagram::encode(&denial, Version::REACH).unwrap(), None);
+    let received = datagram::decode(&encode(&denial, Version::CURRENT), None).unwrap();
+    assert_eq!(received.message, denial);
+}
+
 #[test]
 fn own_datagrams_are_understood() {
     for (name, message) in samples::messages() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod limits;
 pub mod load;
 pub mod membership;
+pub mod origin_search;
 pub mod permits;
 pub mod placement;
 pub mod position;
