Keep errors of the next endpoint out of a stream

Cause: a resumed response with a 2xx status and a seal was believed to be the rest of the stream. Blocks without a number passed, as did numbers that go back, any type of content, and a response without events was the end. Class: what comes at the right place is taken for the right thing.

Fix: events of a numbered stream are numbered and rise, but for comments; the type of the content stays; a resumed response ends the stream without an event only if it ends like one, in chunks. What is no continuation counts as a run and is logged. Found on the way: complete events that came in one piece with an invalid one were lost, and the stream was resumed after them; now they are delivered first.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -26,6 +26,9 @@
     pub(crate) async fn read(body: &mut Incoming, splitter: &mut EventSplitter) -> Arrival {
         let mut events = Vec::new();
         while events.is_empty() {
+            if splitter.has_failed() {
+                return Arrival::Invalid;
+            }
             let frame = match body.frame().await {
                 Some(Ok(frame)) => frame,
                 Some(Err(err)) => return Arrival::Broken(err),
@@ -33,9 +36,8 @@
                 None => return Arrival::Cut,
             };
             let Ok(data) = frame.into_data() else { continue };
-            if splitter.push(&data, &mut events).is_err() {
-                return Arrival::Invalid;
-            }
+            // What comes before an invalid event is delivered first.
+            let _ = splitter.push(&data, &mut events);
         }
         Arrival::Events(events.into())
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::{
     dialect::{ForwardMetadata, ResponseMetadata},
     endpoint_handle::EndpointHandle,
+    framing::Framing,
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
@@ -33,6 +34,7 @@
     pub(crate) connection: Connection,
     pub(crate) head: response::Parts,
     pub(crate) metadata: ResponseMetadata,
+    pub(crate) framing: Framing,
     pub(crate) body: Incoming,
 }
 
@@ -174,7 +176,8 @@
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
         return Err(log_failure(gateway, context, handle, AttemptError::Unknown, "missing seal"));
     }
-    Ok(OpenResponse { in_flight, permit, received: now, connection, head, metadata, body })
+    let framing = Framing::of(&head.headers);
+    Ok(OpenResponse { in_flight, permit, received: now, connection, head, metadata, framing, body })
 }
 
 /// Returns whether a response is that of the attempt.
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -212,8 +212,16 @@
     open: OpenResponse,
 ) -> Result<Response<ReplyBody>, AttemptError> {
     let timeout_left = Duration::from_millis(context.remaining_ms(gateway.now()));
-    let OpenResponse { in_flight, permit: _permit, received, connection, mut head, metadata, body } =
-        open;
+    let OpenResponse {
+        in_flight,
+        permit: _permit,
+        received,
+        connection,
+        mut head,
+        metadata,
+        body,
+        ..
+    } = open;
     let handle = in_flight.handle().clone();
     let collected = timeout(timeout_left, body_buffer::receive(body, &gateway.buffer_total)).await;
     let now = gateway.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -58,6 +58,7 @@
 mod follow_config;
 mod forward;
 mod forward_table;
+mod framing;
 mod gateway;
 mod gossip;
 mod handover;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use hyper::{
     Response,
     body::{Frame, Incoming},
+    header::{CONTENT_TYPE, HeaderValue},
 };
 use mimosaledge_core::Millis;
 use mimosaledge_net::server::{Aborted, ReplyBody};
@@ -19,7 +20,8 @@
 
 use crate::{
     arrival::Arrival,
-    attempt::{self, Attempt, OpenResponse},
+    attempt::{self, Attempt, AttemptError, OpenResponse},
+    framing::Framing,
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     loads::InFlight,
@@ -50,10 +52,25 @@
     body: Incoming,
     /// Whether the endpoint closes the connection after the stream.
     closing: bool,
+    /// Whether the endpoint may end the stream here; false before the first event if the response
+    /// may be none that a stream ends with.
+    may_end: bool,
 }
 
 impl Upstream {
-    fn from_open(open: OpenResponse) -> Upstream {
+    fn from_first(open: OpenResponse) -> Upstream {
+        let may_end = open.framing != Framing::Connection;
+        Upstream::from_open(open, may_end)
+    }
+
+    /// An endpoint that has nothing to add to a stream ends it like one with events: an error
+    /// without a text has a length.
+    fn from_resumed(open: OpenResponse) -> Upstream {
+        let may_end = open.framing == Framing::Chunks;
+        Upstream::from_open(open, may_end)
+    }
+
+    fn from_open(open: OpenResponse, may_end: bool) -> Upstream {
         Upstream {
             in_flight: open.in_flight,
             _permit: open.permit,
@@ -61,6 +78,7 @@
             connection: Some(open.connection),
             body: open.body,
             closing: open.metadata.closing,
+            may_end,
         }
     }
 }
@@ -74,6 +92,8 @@
     EndedInsideEvent,
     /// Events are missing or too large.
     InvalidEvent,
+    /// The response ended before the first event.
+    EndedWithoutEvent,
     /// The endpoint sent nothing.
     Silent,
 }
@@ -83,7 +103,8 @@
         match self {
             Interruption::ConnectionBroken => "connection broken",
             Interruption::EndedInsideEvent => "ended inside an event",
-            Interruption::InvalidEvent => "missing or oversized event",
+            Interruption::InvalidEvent => "missing, misplaced or oversized event",
+            Interruption::EndedWithoutEvent => "ended without an event",
             Interruption::Silent => "silent",
         }
     }
@@ -96,6 +117,8 @@
     upstream: Upstream,
     splitter: EventSplitter,
     retry_state: RetryState,
+    /// Type of the content, which does not change when the stream is resumed.
+    content_type: Option<HeaderValue>,
     /// Number of chunks sent to the client.
     chunks: u32,
     /// When the last events arrived.
@@ -115,11 +138,16 @@
 ) -> Response<ReplyBody> {
     strip_hop_by_hop_headers(&mut open.head.headers);
     let head = open.head.clone();
+    let splitter = match context.route().retry {
+        RetryPolicy::Resume => EventSplitter::after(context.metadata.last_event),
+        _ => EventSplitter::default(),
+    };
     let relay = Relay {
         gateway: gateway.clone(),
-        splitter: EventSplitter::after(context.metadata.last_event),
+        splitter,
         context,
-        upstream: Upstream::from_open(open),
+        content_type: head.headers.get(CONTENT_TYPE).cloned(),
+        upstream: Upstream::from_first(open),
         retry_state,
         chunks: 0,
         last_events: gateway.now(),
@@ -152,10 +180,11 @@
                     self.record_chunk();
                     return Some(Ok(events));
                 }
-                Waited::Received(Arrival::End, _) => {
+                Waited::Received(Arrival::End, _) if self.upstream.may_end => {
                     self.finish();
                     return None;
                 }
+                Waited::Received(Arrival::End, next) => (Interruption::EndedWithoutEvent, next),
                 Waited::Received(Arrival::Invalid, next) => (Interruption::InvalidEvent, next),
                 Waited::Received(Arrival::Cut, next) => (Interruption::EndedInsideEvent, next),
                 Waited::Received(Arrival::Broken(err), next) => {
@@ -212,6 +241,7 @@
     /// stream.
     fn record_chunk(&mut self) {
         self.chunks += 1;
+        self.upstream.may_end = true;
         if self.retry_state.build.is_some() {
             return;
         }
@@ -274,7 +304,7 @@
             let remaining_ms = self.context.remaining_ms(self.gateway.now());
             let opened = timeout(Duration::from_millis(remaining_ms), attempt.response).await;
             match opened {
-                Ok(Ok(open)) if open.head.status.is_success() => {
+                Ok(Ok(open)) if self.is_continuation(&open) => {
                     self.gateway.metrics.resumes.inc();
                     spdlog::info!(
                         "resume: id={} endpoint={} build={} after_event={last_id:?} cause={:?}",
@@ -283,10 +313,20 @@
                         attempt.handle.endpoint.borrow().build,
                         interruption.log_label()
                     );
-                    self.upstream = Upstream::from_open(open);
+                    self.upstream = Upstream::from_resumed(open);
                     return true;
                 }
-                Ok(Ok(_)) => self.retry_state.record_run(),
+                Ok(Ok(_)) => {
+                    self.retry_state.record_run();
+                    let (error, cause) = (AttemptError::Unknown, "no continuation of the stream");
+                    attempt::log_failure(
+                        &self.gateway,
+                        &self.context,
+                        &attempt.handle,
+                        error,
+                        cause,
+                    );
+                }
                 Ok(Err(error)) => self.retry_state.record_failure(error),
                 Err(_) => {
                     self.retry_state.record_run();
@@ -298,6 +338,12 @@
         }
     }
 
+    /// Returns whether a response may continue the stream, rather than tell of an error.
+    fn is_continuation(&self, open: &OpenResponse) -> bool {
+        let content_type = open.head.headers.get(CONTENT_TYPE);
+        open.head.status.is_success() && content_type == self.content_type.as_ref()
+    }
+
     /// Returns whether an endpoint may still be found to resume the stream.
     fn may_search_again(&self) -> bool {
         !self.retry_state.is_used_up(self.context.route())
--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -15,6 +15,9 @@
 pub enum StreamError {
     /// Events are missing between the last event and the next one.
     Gap,
+    /// An event is not numbered, or not higher than the one before, as what an endpoint writes
+    /// that is no part of the stream.
+    OutOfOrder,
     /// An event is too large.
     TooLarge,
 }
@@ -28,13 +31,15 @@
     last_id: Option<u64>,
     /// Whether no new event has arrived since the last restart.
     is_resuming: bool,
+    /// Whether the stream has been found invalid since the last restart.
+    has_failed: bool,
 }
 
 impl EventSplitter {
     /// Creates a splitter for a stream that continues after the event
     /// `last_id`.
     pub fn after(last_id: Option<u64>) -> EventSplitter {
-        EventSplitter { last_id, ..EventSplitter::default() }
+        EventSplitter { last_id, is_resuming: last_id.is_some(), ..EventSplitter::default() }
     }
 
     /// Returns the number of the last complete event.
@@ -54,16 +59,28 @@
         self.buffer.clear();
         self.searched = 0;
         self.is_resuming = true;
+        self.has_failed = false;
+    }
+
+    /// Returns whether the stream cannot be continued after the last complete event.
+    pub fn has_failed(&self) -> bool {
+        self.has_failed
     }
 
     /// Adds the next bytes of the stream and appends the events that they
-    /// complete to `out`.
+    /// complete to `out`, also those before an invalid one.
     ///
     /// # Errors
     ///
-    /// Returns an error if events are missing after a restart, or if an
-    /// incomplete event is too large.
+    /// Returns an error if events are missing after a restart, if one does not follow the
+    /// last one, or if an incomplete event is too large.
     pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), StreamError> {
+        let result = self.split(bytes, out);
+        self.has_failed |= result.is_err();
+        result
+    }
+
+    fn split(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), StreamError> {
         self.buffer.extend_from_slice(bytes);
         let mut start = 0;
         // The end of an event may have been received in part.
@@ -88,24 +105,22 @@
 /// Checks an event's number against the last one; returns whether the event is
 /// new.
 ///
-/// Numbers are compared only after a restart, up to the first new event.
+/// Numbers increase; after a restart, events that were received before are skipped, and the
+/// next one follows without a gap. A stream whose first event has no number is not checked.
 fn check_sequence(
     event: &[u8],
     last_id: &mut Option<u64>,
     is_resuming: &mut bool,
 ) -> Result<bool, StreamError> {
     let Some(id) = event_id(event) else {
-        return Ok(true);
+        let is_valid = last_id.is_none() || is_comment(event);
+        return if is_valid { Ok(true) } else { Err(StreamError::OutOfOrder) };
     };
-    if let Some(previous) = *last_id
-        && *is_resuming
-    {
-        if id <= previous {
-            return Ok(false);
-        }
-        if id != previous + 1 {
-            return Err(StreamError::Gap);
-        }
+    match *last_id {
+        Some(previous) if id <= previous && *is_resuming => return Ok(false),
+        Some(previous) if id <= previous => return Err(StreamError::OutOfOrder),
+        Some(previous) if id != previous + 1 && *is_resuming => return Err(StreamError::Gap),
+        _ => {}
     }
     *last_id = Some(id);
     *is_resuming = false;
@@ -127,6 +142,11 @@
     })
 }
 
+/// Returns whether an event consists of comments only, which keep a connection open.
+fn is_comment(event: &[u8]) -> bool {
+    event.split(|&byte| byte == b'\n').all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
     bytes.windows(pattern.len()).position(|window| window == pattern)
 }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -346,6 +346,30 @@
     splitter.push(stream(8, 8).as_bytes(), &mut Vec::new()).unwrap_err();
 }
 
+/// Names a case: bytes after the first three events of a stream, and whether they may follow.
+macro_rules! continuations {
+    ($($name:ident: $bytes:expr => $is_valid:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut splitter = EventSplitter::default();
+            let mut out = Vec::new();
+            let pushed = splitter.push(format!("{}{}", stream(1, 3), $bytes).as_bytes(), &mut out);
+            assert_eq!(pushed.is_ok(), $is_valid);
+            assert_eq!(splitter.has_failed(), !$is_valid);
+            // The events before an invalid one are not lost.
+            assert!(String::from_utf8(out).unwrap().starts_with(&stream(1, 3)));
+        }
+    )*};
+}
+
+continuations! {
+    next_event_follows: stream(4, 4) => true;
+    comment_follows: ": keep-alive\n\n" => true;
+    text_does_not_follow: "out of memory\n\n" => false;
+    head_of_a_response_does_not_follow: "HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\n" => false;
+    repeated_event_does_not_follow: stream(3, 3) => false;
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
 
