Do not take a head that broke off for a response with an empty body

Cause: a head that breaks off after a line, and is closed with a blank line, has neither a length nor chunks: its body ends with the connection, at once. The gateway took that for a whole empty body. Class: the absence of a header taken for a statement.

Fix: a body that only the end of the connection delimits is no empty one, but where a status or method has none; the request is retried if it may be, and answered 502 if not. A response that ends with its connection and has a body is delivered as before.

Not covered: a head that breaks off before its length and a body that follows it, which looks like a response without a length.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hyper::{Response, StatusCode};
+use hyper::{Method, Response, StatusCode};
 use mimosaledge_core::hash::hash64;
 use mimosaledge_net::server::{ReplyBody, full_body};
 use mimosaledge_policy::{
@@ -18,6 +18,7 @@
     budget,
     error_response::{Code, ErrorResponse},
     forward::{self, ForwardError},
+    framing::Framing,
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     pool::ConnectionChoice,
@@ -219,12 +220,22 @@
         connection,
         mut head,
         metadata,
+        framing,
         body,
-        ..
     } = open;
     let handle = in_flight.handle().clone();
     let collected = timeout(timeout_left, body_buffer::receive(body, &gateway.buffer_total)).await;
     let now = gateway.now();
+    let collected = collected.map(|it| match it {
+        Ok(bytes)
+            if bytes.is_empty()
+                && framing == Framing::Connection
+                && has_body(context, head.status) =>
+        {
+            Err(BodyError::Truncated)
+        }
+        it => it,
+    });
     let bytes = match collected {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(err)) => {
@@ -271,6 +282,12 @@
     Ok(Response::from_parts(head, full_body(bytes)))
 }
 
+/// Returns whether a response with this status may have a body.
+fn has_body(context: &RequestContext, status: StatusCode) -> bool {
+    let is_bodyless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    context.head.method != Method::HEAD && !is_bodyless
+}
+
 /// Returns whether the response is a server error and the route allows a retry.
 fn should_retry(context: &RequestContext, response: &Response<ReplyBody>) -> bool {
     context.route().retry != RetryPolicy::Never && response.status().is_server_error()
