Read the list again where no majority answers for a stream

One call to the store, only where a stream's record is gone and gateways are silent.

`out_of_step` and `builds` pass. That a gateway which does not read the list otherwise does so now has no test of its own: in `out_of_step` the gateway is a reader.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -62,6 +62,7 @@
                 apply_endpoints(&gateway, read);
                 if is_at_end {
                     gateway.list_read.set(Some(started));
+                    gateway.list_wanted.set(false);
                 }
                 gossip::send_changes(&gateway).await;
                 sleep(LIST_POLL_INTERVAL).await;
@@ -85,10 +86,11 @@
 /// Waits until this gateway has to read the endpoint list from the store.
 ///
 /// A list reader does not wait; any other gateway waits until no peer has
-/// confirmed the list for some time.
+/// confirmed the list for some time, or a request needs a read of its own.
 async fn wait_until_read_due(gateway: &Gateway) {
     let max_age_ms = LIST_STALE_MS + jitter(gateway, LIST_STALE_JITTER_MS).as_millis() as u64;
-    while !gateway.is_list_reader() && gateway.list_age_ms() < max_age_ms {
+    let is_confirmed = || gateway.list_age_ms() < max_age_ms && !gateway.list_wanted.get();
+    while !gateway.is_list_reader() && is_confirmed() {
         sleep(CONFIRMATION_CHECK_INTERVAL).await;
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -103,6 +103,8 @@
     /// When this gateway last started to read changes of the list from the store, of a read
     /// that has reached the end.
     pub(crate) list_read: Cell<Option<Millis>>,
+    /// Whether this gateway has to read the list although others confirm it.
+    pub(crate) list_wanted: Cell<bool>,
     /// Digest of the endpoint list.
     pub(crate) list_digest: Cell<u64>,
     /// Latest known era of the store; a rise invalidates pending long polls.
@@ -173,6 +175,7 @@
             config_confirmed: Cell::new(Millis(0)),
             list_confirmed: Cell::new(Millis(0)),
             list_read: Cell::default(),
+            list_wanted: Cell::default(),
             list_digest: Cell::new(0),
             era: watch::Sender::new(0),
             has_unsent_summary: Cell::new(false),
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -146,6 +146,8 @@
         if (has_several && queries == MAX_QUERIES) || Instant::now() >= give_up_at {
             return found(recorded(), recorded().is_some());
         }
+        // Those that have not answered may be dead.
+        gateway.list_wanted.set(!has_several);
     }
 }
 
