--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -35,6 +35,8 @@
         heartbeat_ms: 470,
         start_ms: 100,
         requests_per_s: requests,
+        lost_heartbeats: 0.0,
+        restarts: Vec::new(),
         policy: PolicySettings { fill_ratio, ..PolicySettings::default() },
         seed: 11,
     });
@@ -88,28 +90,27 @@
     assert!(load_limit(&PolicySettings::default(), 1, 9, Progress::New) >= 1.0);
 }
 
-/// Simulates a surge to five times the usual requests, which is more than the engines can run,
-/// in front of as many engines as a large deployment has; returns the greatest share of the
-/// requests of a window that were placed on engines over the load cap.
-fn simulate_surge(start_ms: u64, seed: u64) -> f64 {
-    let outcome = simulate(Scenario {
+/// A surge to five times the usual requests, which is more than the engines can run, in front of
+/// as many engines as a large deployment has.
+fn surge() -> Scenario {
+    Scenario {
         gateways: 79,
         engines: 60,
         heartbeat_ms: 1_100,
-        start_ms,
+        start_ms: 100,
         requests_per_s: [vec![460.0; 4], vec![2_300.0; 10], vec![460.0; 6]].concat(),
+        lost_heartbeats: 0.0,
+        restarts: Vec::new(),
         policy: PolicySettings::default(),
-        seed,
-    });
-    outcome.worst_over_cap(WINDOW_S)
+        seed: 5,
+    }
 }
 
-/// Names a case: the time within which all gateways start, in milliseconds, and a seed.
 macro_rules! surges {
-    ($($name:ident: $start_ms:expr, $seed:expr;)*) => {$(
+    ($($name:ident: $scenario:expr;)*) => {$(
         #[test]
         fn $name() {
-            let over_cap = simulate_surge($start_ms, $seed);
+            let over_cap = simulate($scenario).worst_over_cap(WINDOW_S);
             assert!(over_cap <= MAX_OVER_CAP_SHARE, "{over_cap} over the cap");
         }
     )*};
@@ -117,7 +118,12 @@
 
 // Guards against engines that all gateways fill at once, each knowing only its own requests.
 surges! {
-    surge_is_spread_by_gateways_with_heartbeats_in_step: 100, 5;
-    surge_is_spread_by_gateways_with_heartbeats_at_any_time: 1_100, 5;
-    surge_is_spread_by_gateways_that_start_one_after_the_other: 300, 17;
+    surge_is_spread_by_gateways_with_heartbeats_in_step: surge();
+    surge_is_spread_by_gateways_with_heartbeats_at_any_time: Scenario { start_ms: 1_100, ..surge() };
+    surge_is_spread_by_gateways_that_start_one_after_the_other:
+        Scenario { start_ms: 300, seed: 17, ..surge() };
+    surge_is_spread_while_heartbeats_are_lost: Scenario { lost_heartbeats: 0.3, ..surge() };
+    surge_is_spread_while_most_gateways_restart:
+        Scenario { restarts: vec![(6_000, 47), (9_000, 47)], ..surge() };
+    surge_is_spread_while_all_gateways_restart: Scenario { restarts: vec![(8_000, 79)], ..surge() };
 }
--- a/crates/policy/tests/support/fleet.rs
+++ b/crates/policy/tests/support/fleet.rs
@@ -30,6 +30,10 @@
     pub(crate) start_ms: u64,
     /// Requests of all classes in each second.
     pub(crate) requests_per_s: Vec<f64>,
+    /// Share of heartbeats that reach nobody.
+    pub(crate) lost_heartbeats: f64,
+    /// Times at which as many gateways are killed and start again, in milliseconds.
+    pub(crate) restarts: Vec<(u64, usize)>,
     pub(crate) policy: PolicySettings,
     pub(crate) seed: u64,
 }
@@ -76,17 +80,28 @@
     /// Those in the last heartbeat.
     reported: Vec<u32>,
     reported_at: Millis,
+    started: Millis,
     mean_duration: MeanDuration,
     arrivals: ArrivalRate,
     /// Load that each engine reported last, and when.
     engine_loads: Vec<(f64, Millis)>,
 }
 
+impl Gateway {
+    fn start(engines: usize, now: u64) -> Gateway {
+        Gateway {
+            own: vec![0; engines],
+            reported: vec![0; engines],
+            started: Millis(now),
+            engine_loads: vec![(0.0, Millis(0)); engines],
+            ..Gateway::default()
+        }
+    }
+}
+
 struct Fleet {
     gateways: Vec<Gateway>,
     engines: Vec<Engine>,
-    /// Requests at each engine in the last heartbeats of all gateways.
-    reported: Vec<u32>,
     outcome: Outcome,
     scenario: Scenario,
     random: Pcg64,
@@ -95,16 +110,9 @@
 impl Fleet {
     fn new(scenario: Scenario) -> Fleet {
         let engines = scenario.engines;
-        let gateway = Gateway {
-            own: vec![0; engines],
-            reported: vec![0; engines],
-            engine_loads: vec![(0.0, Millis(0)); engines],
-            ..Gateway::default()
-        };
         Fleet {
-            gateways: vec![gateway; scenario.gateways],
+            gateways: vec![Gateway::start(engines, 0); scenario.gateways],
             engines: (0..engines).map(|_| Engine::default()).collect(),
-            reported: vec![0; engines],
             outcome: Outcome::default(),
             random: Pcg64::seed_from_u64(scenario.seed),
             scenario,
@@ -112,16 +120,15 @@
     }
 
     fn send_heartbeats(&mut self, now: u64) {
-        let Scenario { heartbeat_ms, start_ms, .. } = self.scenario;
+        let Scenario { heartbeat_ms, start_ms, lost_heartbeats, .. } = self.scenario;
         let count = self.gateways.len() as u64;
         for (at, gateway) in self.gateways.iter_mut().enumerate() {
             let phase = at as u64 * start_ms / count;
             if (now + heartbeat_ms - phase) % heartbeat_ms >= TICK_MS {
                 continue;
             }
-            for engine in 0..self.engines.len() {
-                self.reported[engine] += gateway.own[engine];
-                self.reported[engine] -= gateway.reported[engine];
+            if self.random.random_bool(lost_heartbeats) {
+                continue;
             }
             gateway.reported = gateway.own.clone();
             gateway.reported_at = Millis(now);
@@ -145,19 +152,37 @@
         }
     }
 
-    /// Mean age of the counts that a gateway has of the others, in milliseconds.
-    fn counts_age_ms(&self, now: u64) -> u64 {
-        let ages = self.gateways.iter().map(|it| Millis(now).since(it.reported_at));
-        ages.sum::<u64>() / self.gateways.len() as u64
+    /// Kills gateways, which ends their requests, and starts them again.
+    fn restart_gateways(&mut self, now: u64) {
+        let due = self.scenario.restarts.iter().filter(|it| it.0 == now);
+        let count = due.map(|it| it.1).sum::<usize>();
+        for at in 0..count {
+            self.gateways[at] = Gateway::start(self.engines.len(), now);
+        }
+        for engine in &mut self.engines {
+            engine.running.retain(|it| it.gateway >= count);
+            engine.queue.retain(|it| it.gateway >= count);
+        }
+    }
+
+    /// Returns the other gateways that a gateway has heard of since it started.
+    fn heard_by(&self, at: usize) -> Vec<&Gateway> {
+        let started = self.gateways[at].started;
+        let others = self.gateways.iter().enumerate().filter(|it| it.0 != at).map(|it| it.1);
+        others.filter(|it| it.reported_at >= started).collect()
     }
 
-    fn candidates(&self, at: usize, remaining_share: f64, now: u64) -> Vec<Candidate> {
+    fn candidates(
+        &self,
+        at: usize,
+        heard: &[&Gateway],
+        remaining_share: f64,
+        now: u64,
+    ) -> Vec<Candidate> {
         let gateway = &self.gateways[at];
+        let reported = |engine: usize| heard.iter().map(|it| it.reported[engine]).sum::<u32>();
         let counts: Vec<Counts> = (0..self.engines.len())
-            .map(|it| Counts {
-                own: gateway.own[it].into(),
-                peers: (self.reported[it] - gateway.reported[it]).into(),
-            })
+            .map(|it| Counts { own: gateway.own[it].into(), peers: reported(it).into() })
             .collect();
         let loads = load::estimate(&counts, remaining_share);
         let candidate = |(engine, load): (usize, f64)| {
@@ -178,25 +203,22 @@
     fn receive(&mut self, class: usize, now: u64) {
         let policy = self.scenario.policy;
         let at = self.random.random_range(0..self.gateways.len());
+        let session: u64 = self.random.random_range(0..SESSIONS);
+        let random = self.random.random();
+        self.outcome.offered[class] += 1;
         self.gateways[at].arrivals.record(Millis(now));
-        let age_ms = self.counts_age_ms(now);
         let gateway = &self.gateways[at];
+        let heard = self.heard_by(at);
+        let ages = heard.iter().map(|it| Millis(now).since(it.reported_at));
+        let age_ms = ages.sum::<u64>() / heard.len().max(1) as u64;
         let remaining_share = gateway.mean_duration.remaining_share(age_ms);
         let own_per_ms = gateway.arrivals.per_ms(Millis(now));
         let limit = LoadLimit {
             limit: load_limit(&policy, SLOTS, CLASSES[class].priority, Progress::New),
-            unreported: Unreported::estimate(
-                own_per_ms,
-                self.gateways.len() - 1,
-                age_ms,
-                remaining_share,
-            ),
+            unreported: Unreported::estimate(own_per_ms, heard.len(), age_ms, remaining_share),
         };
-        let session: u64 = self.random.random_range(0..SESSIONS);
         let prefix = Prefix { key: hash64(&session.to_le_bytes()), running: 1.0 };
-        let candidates = self.candidates(at, remaining_share, now);
-        let random = self.random.random();
-        self.outcome.offered[class] += 1;
+        let candidates = self.candidates(at, &heard, remaining_share, now);
         let placement = place(&policy, Some(limit), Some(prefix), &candidates, random);
         let Placement::Candidate { index, .. } = placement else { return };
         let total: usize = self.engines.iter().map(Engine::load).sum();
@@ -216,6 +238,7 @@
     let mut fleet = Fleet::new(scenario);
     fleet.outcome.seconds = vec![Second::default(); requests_per_s.len()];
     for now in (0..requests_per_s.len() as u64 * 1_000).step_by(TICK_MS as usize) {
+        fleet.restart_gateways(now);
         fleet.send_heartbeats(now);
         fleet.run_engines(now);
         let per_tick = requests_per_s[(now / 1_000) as usize] * TICK_MS as f64 / 1_000.0;
