--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -64,6 +64,7 @@
 mod handover;
 mod headers;
 mod http_client;
+mod interruption;
 mod listener;
 mod loads;
 mod log_sink;
@@ -91,6 +92,7 @@
 mod store;
 mod sync;
 mod unlisted_handles;
+mod upstream;
 
 pub use crate::{
     dialect::{Dialect, ForwardMetadata, PromptPart, RequestMetadata, ResponseMetadata},
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use http_body_util::StreamBody;
 use hyper::{
     Response,
-    body::{Frame, Incoming},
+    body::Frame,
     header::{CONTENT_TYPE, HeaderValue},
 };
 use mimosaledge_core::Millis;
@@ -21,18 +21,17 @@
 use crate::{
     arrival::Arrival,
     attempt::{self, Attempt, AttemptError, OpenResponse},
-    framing::Framing,
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
-    loads::InFlight,
+    interruption::Interruption,
     origins,
-    permit::Permit,
-    pool::{self, Connection, ConnectionChoice},
+    pool::{self, ConnectionChoice},
     quarantine,
     request_context::RequestContext,
     retry_state::RetryState,
     selection::{self, Selection},
     silence::{self, Waited, Waiting},
+    upstream::Upstream,
 };
 
 /// Minimum time without data after which the endpoint of a resumable stream counts as
@@ -41,75 +40,6 @@
 /// Multiple of the route's gap goal after which it counts as silent.
 const GAP_GOAL_FACTOR: u64 = 4;
 
-/// The response of the endpoint that currently sends the stream.
-struct Upstream {
-    in_flight: InFlight,
-    /// Held until the stream ends.
-    _permit: Permit,
-    /// When the head of its response was received.
-    received: Millis,
-    connection: Option<Connection>,
-    body: Incoming,
-    /// Whether the endpoint closes the connection after the stream.
-    closing: bool,
-    /// Whether the endpoint may end the stream here; false before the first event if the response
-    /// may be none that a stream ends with.
-    may_end: bool,
-}
-
-impl Upstream {
-    fn from_first(open: OpenResponse) -> Upstream {
-        let may_end = open.framing != Framing::Connection;
-        Upstream::from_open(open, may_end)
-    }
-
-    /// An endpoint that has nothing to add to a stream ends it like one with events: an error
-    /// without a text has a length.
-    fn from_resumed(open: OpenResponse) -> Upstream {
-        let may_end = open.framing == Framing::Chunks;
-        Upstream::from_open(open, may_end)
-    }
-
-    fn from_open(open: OpenResponse, may_end: bool) -> Upstream {
-        Upstream {
-            in_flight: open.in_flight,
-            _permit: open.permit,
-            received: open.received,
-            connection: Some(open.connection),
-            body: open.body,
-            closing: open.metadata.closing,
-            may_end,
-        }
-    }
-}
-
-/// Why an endpoint's stream ended before the last event.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Interruption {
-    /// The connection was lost.
-    ConnectionBroken,
-    /// The response ended inside an event.
-    EndedInsideEvent,
-    /// Events are missing or too large.
-    InvalidEvent,
-    /// The response ended before the first event.
-    EndedWithoutEvent,
-    /// The endpoint sent nothing.
-    Silent,
-}
-
-impl Interruption {
-    fn log_label(self) -> &'static str {
-        match self {
-            Interruption::ConnectionBroken => "connection broken",
-            Interruption::EndedInsideEvent => "ended inside an event",
-            Interruption::InvalidEvent => "missing, misplaced or oversized event",
-            Interruption::EndedWithoutEvent => "ended without an event",
-            Interruption::Silent => "silent",
-        }
-    }
-}
-
 /// A stream to one client, which several endpoints may send in turn.
 struct Relay {
     gateway: Rc<Gateway>,
