--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -64,7 +64,8 @@
         _ => 1.0,
     };
     let own_per_ms = loads.arrivals_per_ms(service, now);
-    Unreported::estimate(own_per_ms, loads.peer_count(), age_ms, remaining_share)
+    let peers = if settings.policy.share_room { loads.peer_count() } else { 0 };
+    Unreported::estimate(own_per_ms, peers, age_ms, remaining_share)
 }
 
 /// Returns the mean age of the known loads, in milliseconds: that of the peers' counts, or in
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -65,7 +65,7 @@
     let builds = gateway.builds.borrow();
     spdlog::info!(
         "stream: id={} resumes={:?} after_event={:?} recorded={} asked={} denied={} \
-         service={service} build={:?} list_age_ms={} waited_ms={}",
+         service={service} build={:?} current={} list_age_ms={} waited_ms={}",
         metadata.attempt_id,
         metadata.resumed_attempt.as_deref(),
         metadata.last_event,
@@ -73,6 +73,7 @@
         found.asked,
         found.denials,
         build.and_then(|key| builds.name(&service, key)),
+        gateway.is_list_current(),
         gateway.list_age_ms(),
         gateway.now().since(started)
     );
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -32,6 +32,9 @@
     pub avoid_refusals: bool,
     /// Whether reported loads count less when they are older than requests last.
     pub age_loads: bool,
+    /// Whether the gateways share the room that is left at engines, rather than each filling
+    /// it alone.
+    pub share_room: bool,
     /// Share of an engine's slots that may be filled; the rest is left for requests
     /// that other gateways have sent but not yet reported. A large value is off.
     pub fill_ratio: f64,
@@ -70,6 +73,7 @@
             failure_cost: 20.0,
             avoid_refusals: true,
             age_loads: true,
+            share_room: true,
             fill_ratio: 0.94,
             priority_slots: 1.0,
             started_slots: 8.0,
