Let a request for some engines share their room with those sent there only

A stream that only the last engine of its build can continue was rejected for requests that go to all engines: at 79 gateways, 60 engines and a second-old counts all but 2 in 100, with half of its slots free. Now only the part of the requests counts that goes there.

The test fails without it by its first assertion's figures (share below 0.02 where 1 is due).

--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -160,8 +160,13 @@
     let table = gateway.endpoint_table.borrow();
     let loads = gateway.loads.borrow();
     let known = table.of_service(&context.service);
-    let untried = known.iter().filter(|it| it.is_open(claims.of(it)) && retry_state.allows(it));
-    let untried = claims.filter(untried.cloned().collect());
+    let open: Vec<&Rc<EndpointHandle>> =
+        known.iter().filter(|it| it.is_open(claims.of(it))).collect();
+    let allowed = open.iter().filter(|it| retry_state.allows(it)).map(|it| Rc::clone(it));
+    let allowed: Vec<Rc<EndpointHandle>> = allowed.collect();
+    // Other requests go to the endpoints that this one may not be sent to as well.
+    let (allowed_count, open_count) = (allowed.len(), open.len());
+    let untried = claims.filter(allowed);
     let settings = &gateway.settings;
     let unreported =
         endpoint_table::estimate_unreported(&context.service, &untried, settings, &loads, now);
@@ -170,7 +175,7 @@
         endpoint_table::to_candidates(&untried, settings, &loads, remaining_share, now);
     let limit = batch_slots(gateway, context).map(|slots| LoadLimit {
         limit: admission::load_limit(policy, slots, context.authorized.priority, progress),
-        unreported,
+        unreported: unreported.at_some_of(allowed_count, open_count),
     });
     let hash = hash64(context.metadata.attempt_id.as_bytes());
     let running = |key| f64::from(loads.count_with_prefix(key) + 1);
--- a/crates/policy/src/unreported.rs
+++ b/crates/policy/src/unreported.rs
@@ -27,6 +27,12 @@
         Unreported { arrived: own_per_ms * peers as f64 * age_ms as f64, remaining_share }
     }
 
+    /// Returns what concerns `count` of `total` engines, for a request that only these can run.
+    pub fn at_some_of(self, count: usize, total: usize) -> Unreported {
+        let share = count as f64 / total.max(count).max(1) as f64;
+        Unreported { arrived: self.arrived * share, ..self }
+    }
+
     /// Returns the requests that fit an engine of this load and load limit.
     pub fn room(&self, load: f64, limit: f64) -> f64 {
         (limit - load * self.remaining_share).max(0.0)
--- a/crates/policy/tests/load.rs
+++ b/crates/policy/tests/load.rs
@@ -1,7 +1,8 @@
 //! Loads estimated from counts and reports of different ages.
 
-use mimosaledge_policy::load::{
-    Counts, MAX_REPORT_AGE_MS, MeanDuration, Report, estimate, with_report,
+use mimosaledge_policy::{
+    load::{Counts, MAX_REPORT_AGE_MS, MeanDuration, Report, estimate, with_report},
+    unreported::Unreported,
 };
 
 /// Names a case: the load known from counts, the reported load with its age, and the
@@ -44,3 +45,15 @@
 fn counts_are_believed_while_no_duration_is_known() {
     assert_eq!(MeanDuration::default().remaining_share(5_000), 1.0);
 }
+
+// Guards against streams that only the last engine of their build can continue, rejected since the
+// requests of the whole service do not fit there.
+#[test]
+fn request_for_one_of_many_engines_shares_its_room_only_with_those_sent_there() {
+    let unreported = Unreported::estimate(0.02, 78, 1_000, 1.0);
+    assert_eq!(unreported.arrived, 1_560.0);
+    let room = unreported.room(30.0, 60.0);
+    assert!(unreported.admitted_share(room) < 0.02);
+    assert_eq!(unreported.at_some_of(1, 60).admitted_share(room), 1.0);
+    assert_eq!(unreported.at_some_of(60, 60), unreported);
+}
