--- a/crates/policy/src/unreported.rs
+++ b/crates/policy/src/unreported.rs
@@ -43,9 +43,3 @@
         if self.arrived <= room { 1.0 } else { room / self.arrived }
     }
 }
-
-impl Default for Unreported {
-    fn default() -> Unreported {
-        Unreported { arrived: 0.0, remaining_share: 1.0 }
-    }
-}
