Write the log whole where its output takes only a part

Cause of one such loss: where standard output does not block (a pipe that its reader has set so) and is full, writing a batch of lines fails half way; the rest was dropped without a count. The writer thread now waits and goes on, and counts the lines that it cannot write for another reason (`lines_dropped`).

--- a/crates/gateway/src/log_sink.rs
+++ b/crates/gateway/src/log_sink.rs
@@ -6,10 +6,11 @@
 
 use std::{
     fmt::Write as _,
-    io::{self, Write},
+    io::{self, ErrorKind, Write},
     mem,
     sync::{
         Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
         mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread,
@@ -25,6 +26,8 @@
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 /// Maximum time to wait for the writer thread on close.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Delay after which lines are written again that the output did not take.
+const WRITE_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// Maximum number of batches queued for the writer thread.
 const MAX_QUEUED_BATCHES: usize = 4;
 
@@ -32,6 +35,8 @@
 pub(crate) struct LogSink {
     prop: SinkProp,
     batch: Mutex<Batch>,
+    /// Lines that the writer thread could not write, and that were not reported yet.
+    unwritten: Arc<AtomicU64>,
     /// The writer thread's queue, or `None` after close.
     writer: Mutex<Option<SyncSender<String>>>,
     /// Receives a message when the writer thread exits.
@@ -49,18 +54,19 @@
     pub(crate) fn install() -> eyre::Result<Arc<LogSink>> {
         let (writer, batches) = sync_channel::<String>(MAX_QUEUED_BATCHES);
         let (exit, exited) = sync_channel(1);
+        let unwritten = Arc::new(AtomicU64::new(0));
+        let lost = unwritten.clone();
         thread::Builder::new().name("log".into()).stack_size(64 * 1024).spawn(move || {
-            let mut out = io::stdout();
+            let mut out = io::stdout().lock();
             while let Ok(batch) = batches.recv() {
-                // There is no other place to report that the log cannot be
-                // written.
-                let _ = out.write_all(batch.as_bytes()).and_then(|()| out.flush());
+                lost.fetch_add(write_batch(&mut out, &batch), Ordering::Relaxed);
             }
             let _ = exit.send(());
         })?;
         let sink = Arc::new(LogSink {
             prop: SinkProp::default(),
             batch: Mutex::default(),
+            unwritten,
             writer: Mutex::new(Some(writer)),
             exited: Mutex::new(exited),
         });
@@ -74,6 +80,7 @@
     /// Passes the buffered lines to the writer thread, if its queue has room.
     pub(crate) fn send_batch(&self) {
         let mut batch = self.batch.lock().unwrap_or_else(|it| it.into_inner());
+        batch.dropped += self.unwritten.swap(0, Ordering::Relaxed);
         if batch.dropped > 0 {
             let dropped = mem::take(&mut batch.dropped);
             let _ = writeln!(batch.lines, "{} warn log: lines_dropped={dropped}", unix_ms());
@@ -131,6 +138,26 @@
     }
 }
 
+/// Writes lines, and waits while the output takes no more; returns the number of lines that
+/// were not written whole.
+///
+/// Standard output may be a pipe that does not block, which then takes a part of the lines.
+fn write_batch(out: &mut impl Write, lines: &str) -> u64 {
+    let mut rest = lines.as_bytes();
+    while !rest.is_empty() {
+        match out.write(rest) {
+            Ok(0) => break,
+            Ok(written) => rest = &rest[written..],
+            Err(err) if err.kind() == ErrorKind::Interrupted => {}
+            Err(err) if err.kind() == ErrorKind::WouldBlock => thread::sleep(WRITE_RETRY_DELAY),
+            Err(_) => break,
+        }
+    }
+    // What is left in the buffer is written with the next lines.
+    let _ = out.flush();
+    rest.iter().filter(|it| **it == b'\n').count() as u64
+}
+
 fn unix_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
 }
