Tell more gateways who began a stream, as many as the traffic allows

Cause: the build of a stream was known to three other gateways, chosen by hash, whatever the size of the fleet; with one of nine left it is one of them for 3 streams in 8. Ruled out: no endpoint of the build (both listed), queries to the wrong gateways (the dead do not answer, the ninth is asked first of itself).

Now the first three are told at once, as before, and with each round of heartbeats the next holders in the same ranking, within 8 KB a second (500 B above 100 gateways), in one datagram for several streams; protocol version 5. That is everybody at nine gateways, nearly everybody at 59 to 87.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -84,6 +84,8 @@
     pub(crate) stream_origins: RefCell<StreamOrigins>,
     /// Origins of streams that began while no other gateway was known.
     pub(crate) unsent_origins: RefCell<Vec<StreamOrigin>>,
+    /// Origins of streams that only the first holders have been told of.
+    pub(crate) uncopied_origins: RefCell<Vec<StreamOrigin>>,
     /// Searches for the origins of streams, by the hash of the attempt that began each.
     pub(crate) origin_searches: RefCell<HashMap<u64, OriginSearch>>,
     /// Notified when another gateway has sent the origin of a stream, or does not know it.
@@ -164,6 +166,7 @@
             builds,
             stream_origins: RefCell::default(),
             unsent_origins: RefCell::default(),
+            uncopied_origins: RefCell::default(),
             origin_searches: RefCell::default(),
             origin_received: Notify::new(),
             forward_table: RefCell::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -62,7 +62,9 @@
     let status = Status { ready: gateway.is_ready(), cut_off: gateway.is_cut_off() };
     let recipients = gateway.peers.borrow_mut().begin_round(round, status, heartbeat.len(), now);
     datagrams::send(gateway, socket, &heartbeat, &recipients).await;
-    gateway.peers.borrow().round_interval_ms()
+    let interval_ms = gateway.peers.borrow().round_interval_ms();
+    origins::send_copies(gateway, interval_ms);
+    interval_ms
 }
 
 /// Sends changes of the endpoint list that have just been read to the other
@@ -154,6 +156,10 @@
                 origins::record_received(&gateway, origin);
                 continue;
             }
+            Message::StreamOrigins(groups) => {
+                origins::record_copies(&gateway, groups);
+                continue;
+            }
             Message::OriginQuery(attempt) => {
                 origins::answer_query(&gateway, *from.ip(), attempt);
                 continue;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -5,7 +5,11 @@
 
 use mimosaledge_core::{Name, hash::hash64};
 use mimosaledge_peer::Message;
-use mimosaledge_policy::{Route, origin_search::OriginSearch, stream_origins::StreamOrigin};
+use mimosaledge_policy::{
+    Route,
+    origin_search::OriginSearch,
+    stream_origins::{self, BuildOrigins, StreamOrigin},
+};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -15,13 +19,14 @@
     gateway::Gateway,
 };
 
-/// Number of other gateways that remember each stream.
+/// Number of other gateways that are told of a stream before its first event is forwarded.
 const HOLDERS: usize = 3;
 /// Maximum number of gateways that are asked for the origin of a stream; more than
 /// [`HOLDERS`], since gateways differ in whom they know.
 const MAX_ASKED: usize = 10;
-/// Maximum number of origins that are kept to be sent once another gateway is known.
-const MAX_UNSENT: usize = 1_000;
+/// Maximum number of origins that are kept to be sent once another gateway is known, and of
+/// those that are copied to more gateways in one round.
+const MAX_UNSENT: usize = 500;
 /// Time after which a query that may have been lost is sent again.
 const QUERY_INTERVAL: Duration = Duration::from_millis(60);
 /// Number of times that a query is sent.
@@ -189,11 +194,11 @@
 pub(crate) fn record_begun(gateway: &Gateway, attempt_id: &str, build: u64) {
     let origin = StreamOrigin { attempt: hash64(attempt_id.as_bytes()), build };
     gateway.stream_origins.borrow_mut().record(origin, gateway.now());
-    if !send_to_holders(gateway, origin) {
-        let mut unsent = gateway.unsent_origins.borrow_mut();
-        if unsent.len() < MAX_UNSENT {
-            unsent.push(origin);
-        }
+    let is_sent = send_to_holders(gateway, origin);
+    let later = if is_sent { &gateway.uncopied_origins } else { &gateway.unsent_origins };
+    let mut later = later.borrow_mut();
+    if later.len() < MAX_UNSENT {
+        later.push(origin);
     }
 }
 
@@ -201,22 +206,51 @@
 pub(crate) fn send_unsent(gateway: &Gateway) {
     for origin in gateway.unsent_origins.take() {
         send_to_holders(gateway, origin);
+        gateway.uncopied_origins.borrow_mut().push(origin);
     }
 }
 
-/// Sends an origin to the gateways that are to remember it; returns whether there are any.
+/// Sends an origin to the gateways that are to know it at once; returns whether there are any.
 fn send_to_holders(gateway: &Gateway, origin: StreamOrigin) -> bool {
     let holders = gateway.peers.borrow().stream_holders(origin.attempt, HOLDERS, gateway.now());
     datagrams::send_now(gateway, Message::StreamOrigin(origin), &holders);
     !holders.is_empty()
 }
 
+/// Sends the origins of the streams that began since the last round to more gateways, as many
+/// as the traffic of a round of `interval_ms` allows.
+pub(crate) fn send_copies(gateway: &Gateway, interval_ms: u64) {
+    let begun = gateway.uncopied_origins.take();
+    if begun.is_empty() {
+        return;
+    }
+    let peers = gateway.peers.borrow();
+    let knows_copies = |it: &Ipv4Addr| peers.version_of(*it).knows_origin_copies();
+    let mut gateways = peers.urgent_recipients(gateway.now());
+    gateways.retain(knows_copies);
+    let allowance = stream_origins::copy_allowance(peers.is_large(), interval_ms);
+    let copies = stream_origins::plan_copies(&begun, &gateways, HOLDERS, allowance);
+    drop(peers);
+    for (to, origins) in copies {
+        datagrams::send_now(gateway, Message::StreamOrigins(origins), &[to]);
+    }
+}
+
 /// Remembers the origin of a stream that another gateway has sent.
 pub(crate) fn record_received(gateway: &Gateway, origin: StreamOrigin) {
     gateway.stream_origins.borrow_mut().record(origin, gateway.now());
     gateway.origin_received.notify_waiters();
 }
 
+/// Remembers the origins of streams that another gateway has sent.
+pub(crate) fn record_copies(gateway: &Gateway, groups: Vec<BuildOrigins>) {
+    for BuildOrigins { build, attempts } in groups {
+        for attempt in attempts {
+            record_received(gateway, StreamOrigin { attempt, build });
+        }
+    }
+}
+
 /// Records that a gateway that was asked does not know a stream.
 pub(crate) fn record_denial(gateway: &Gateway, from: Ipv4Addr, attempt: u64) {
     if let Some(search) = gateway.origin_searches.borrow_mut().get_mut(&attempt) {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,9 @@
 //! Messages that gateways exchange in datagrams.
 
-use mimosaledge_policy::{permits::Claim, stream_origins::StreamOrigin};
+use mimosaledge_policy::{
+    permits::Claim,
+    stream_origins::{BuildOrigins, StreamOrigin},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -47,6 +50,8 @@
     },
     /// Answers a query for the origin of a stream that the sender does not know.
     OriginUnknown(u64),
+    /// Sent by a gateway that has begun streams, to those that it has not told at once.
+    StreamOrigins(Vec<BuildOrigins>),
 }
 
 impl Message {
@@ -63,6 +68,7 @@
             | Message::PermitResponse { .. }
             | Message::PermitRelease { .. } => Version::BEFORE_FOOTER,
             Message::OriginUnknown(_) => Version::ORIGIN_DENIALS,
+            Message::StreamOrigins(_) => Version::ORIGIN_COPIES,
         }
     }
 }
--- a/crates/peer/src/version.rs
+++ b/crates/peer/src/version.rs
@@ -19,8 +19,10 @@
     pub const REACH: Version = Version(3);
     /// Answers to queries for the origin of a stream that the sender does not know.
     pub const ORIGIN_DENIALS: Version = Version(4);
+    /// Messages with the origins of several streams.
+    pub const ORIGIN_COPIES: Version = Version(5);
     /// The version of this build.
-    pub const CURRENT: Version = Version::ORIGIN_DENIALS;
+    pub const CURRENT: Version = Version::ORIGIN_COPIES;
 
     /// Returns the version with the number `number`, which may be unknown to this build.
     pub(crate) fn from_number(number: u8) -> Version {
@@ -54,6 +56,12 @@
     pub fn knows_denials(self) -> bool {
         self >= Version::ORIGIN_DENIALS
     }
+
+    /// Returns whether a gateway of this version understands the origins of several streams in
+    /// one message.
+    pub fn knows_origin_copies(self) -> bool {
+        self >= Version::ORIGIN_COPIES
+    }
 }
 
 impl Default for Version {
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -11,7 +11,7 @@
     Datagram, Error, Heartbeat, Message, Rejections, SyncRequest, SyncResponse, Version, datagram,
     sync,
 };
-use mimosaledge_policy::membership::FailureReport;
+use mimosaledge_policy::{membership::FailureReport, stream_origins::BuildOrigins};
 use proptest::prelude::*;
 use recorded::{OLD_HEARTBEAT, RECORDED};
 use serde::{Serialize, de::DeserializeOwned};
@@ -115,6 +115,14 @@
     assert_eq!(received.message, denial);
 }
 
+#[test]
+fn copies_of_origins_are_sent_only_to_builds_that_know_them() {
+    let copies = Message::StreamOrigins(vec![BuildOrigins { build: 7, attempts: vec![8, 9] }]);
+    assert_eq!(datagram::encode(&copies, Version::ORIGIN_DENIALS).unwrap(), None);
+    let received = datagram::decode(&encode(&copies, Version::CURRENT), None).unwrap();
+    assert_eq!(received.message, copies);
+}
+
 #[test]
 fn own_datagrams_are_understood() {
     for (name, message) in samples::messages() {
