Suspect a prompt part also if its crashes cut the head of the response

Cause: parts became suspects only once the whole head had come, and an engine begins to respond before. Evidence: every crash is logged with the part and responding_ms=None, and no quarantine line follows at any gateway. Ruled out: crashes that go unnoticed, reports that do not reach the others.

A crash at which a request waited now counts as well, with less weight: five instead of three, both kinds add up. Not for a part that has completed here within 30 s, and only after four completions without the part, so that what all requests share is never blamed; refused for 30 s at first. A stream that lasts clears its parts after half a second.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,7 +16,7 @@
 
 use mimosaledge_core::Millis;
 use mimosaledge_peer::{Heartbeat, LoadSample, Message, Outcomes, Version, datagram};
-use mimosaledge_policy::EndpointGroup;
+use mimosaledge_policy::{EndpointGroup, crashing_parts::CrashStage};
 use tokio::{net::UdpSocket, task::spawn_local, time};
 
 use crate::{
@@ -63,6 +63,7 @@
     let recipients = gateway.peers.borrow_mut().begin_round(round, status, heartbeat.len(), now);
     datagrams::send(gateway, socket, &heartbeat, &recipients).await;
     let interval_ms = gateway.peers.borrow().round_interval_ms();
+    quarantine::repeat_reports(gateway, &recipients);
     origins::send_copies(gateway, interval_ms);
     interval_ms
 }
@@ -113,7 +114,7 @@
         outcomes,
         limits: table.handles().filter_map(|it| it.changed_limits(now)).take(MAX_LIMITS).collect(),
         crashes: peers.crash_reports(),
-        suspects: peers.suspect_reports(now),
+        suspects: peers.suspect_reports(CrashStage::Responding, now),
         sound_parts: peers.sound_parts(),
         known_peers: peers.ready(now).take(if is_large { 1 } else { MAX_KNOWN_PEERS }).collect(),
         failure_report: peers.failure_report(now),
@@ -169,7 +170,13 @@
                 continue;
             }
             Message::Suspects(suspects) => {
-                quarantine::apply_reports(&gateway, &suspects, &[], gateway.now());
+                let stage = CrashStage::Responding;
+                quarantine::apply_reports(&gateway, &suspects, stage, &[], gateway.now());
+                continue;
+            }
+            Message::WaitingSuspects(suspects) => {
+                let stage = CrashStage::Waiting;
+                quarantine::apply_reports(&gateway, &suspects, stage, &[], gateway.now());
                 continue;
             }
             Message::Limits(samples) => {
@@ -206,7 +213,8 @@
     for crash in &heartbeat.crashes {
         gateway.quarantine.borrow_mut().record_crash(crash.fingerprint, crash.endpoint, now);
     }
-    quarantine::apply_reports(gateway, &heartbeat.suspects, &heartbeat.sound_parts, now);
+    let stage = CrashStage::Responding;
+    quarantine::apply_reports(gateway, &heartbeat.suspects, stage, &heartbeat.sound_parts, now);
     let table = gateway.endpoint_table.borrow();
     for sample in &heartbeat.samples {
         if let Some(handle) = table.find_short(sample.endpoint()) {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -225,9 +225,7 @@
         return;
     }
     let peers = gateway.peers.borrow();
-    let knows_copies = |it: &Ipv4Addr| peers.version_of(*it).knows_origin_copies();
-    let mut gateways = peers.urgent_recipients(gateway.now());
-    gateways.retain(knows_copies);
+    let gateways = peers.knowing_copies(&peers.urgent_recipients(gateway.now()));
     let allowance = stream_origins::copy_allowance(peers.is_large(), interval_ms);
     let copies = stream_origins::plan_copies(&begun, &gateways, HOLDERS, allowance);
     drop(peers);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,7 +6,7 @@
 use mimosaledge_peer::{CrashReport, Heartbeat, StateSummary, SuspectReport, Version};
 use mimosaledge_policy::{
     EndpointGroup,
-    crashing_parts::CrashSuspect,
+    crashing_parts::{CrashStage, CrashSuspect},
     membership::{FailureReport, Membership, ring_position},
     stream_origins,
 };
@@ -32,7 +32,7 @@
     /// Crash reports to send, with the time at which each was added.
     crashes: Vec<(CrashReport, Millis)>,
     /// Suspects of crashes to send, with the time of the crash.
-    suspects: Vec<(CrashSuspect, Millis)>,
+    suspects: Vec<(CrashSuspect, CrashStage, Millis)>,
     /// Parts to send that are suspects no longer, with the time at which each was cleared.
     sound_parts: Vec<(u64, Millis)>,
     /// Whether the next round must reach all peers, also in a large fleet.
@@ -88,6 +88,12 @@
         self.membership.possibly_alive(now).collect()
     }
 
+    /// Returns those of `gateways` that understand copies of origins and waiting suspects.
+    pub(crate) fn knowing_copies(&self, gateways: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+        let knows = |it: &Ipv4Addr| self.version_of(*it).knows_origin_copies();
+        gateways.iter().copied().filter(knows).collect()
+    }
+
     /// Returns the `count` other gateways that remember the stream that `attempt` began.
     pub(crate) fn stream_holders(&self, attempt: u64, count: usize, now: Millis) -> Vec<Ipv4Addr> {
         stream_origins::holders(attempt, self.membership.possibly_alive(now), count)
@@ -241,17 +247,16 @@
     }
 
     /// Adds a suspect of a crash at the time `at` to the next heartbeats.
-    pub(crate) fn report_suspect(&mut self, suspect: CrashSuspect, at: Millis) {
-        self.suspects.push((suspect, at));
+    pub(crate) fn report_suspect(&mut self, suspect: CrashSuspect, stage: CrashStage, at: Millis) {
+        self.suspects.push((suspect, stage, at));
     }
 
-    /// Returns the suspects to send, the latest first.
-    pub(crate) fn suspect_reports(&self, now: Millis) -> Vec<SuspectReport> {
-        let to_report = |(suspect, at): &(CrashSuspect, Millis)| SuspectReport {
-            suspect: *suspect,
-            age_ms: now.since(*at),
-        };
-        self.suspects.iter().rev().take(MAX_CRASHES).map(to_report).collect()
+    /// Returns the suspects of crashes at a stage to send, the latest first.
+    pub(crate) fn suspect_reports(&self, stage: CrashStage, now: Millis) -> Vec<SuspectReport> {
+        let latest = self.suspects.iter().rev().filter(|it| it.1 == stage).take(MAX_CRASHES);
+        latest
+            .map(|(suspect, _, at)| SuspectReport { suspect: *suspect, age_ms: now.since(*at) })
+            .collect()
     }
 
     /// Adds parts that are suspects no longer to the next heartbeats.
@@ -327,7 +332,7 @@
         now: Millis,
     ) -> Vec<Ipv4Addr> {
         self.crashes.retain(|(_, at)| now.since(*at) < CRASH_GOSSIP_MS);
-        self.suspects.retain(|(_, at)| now.since(*at) < CRASH_GOSSIP_MS);
+        self.suspects.retain(|(_, _, at)| now.since(*at) < CRASH_GOSSIP_MS);
         self.sound_parts.retain(|(_, at)| now.since(*at) < CRASH_GOSSIP_MS);
         for address in self.membership.remove_silent(now) {
             self.peers.remove(&address);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,11 +1,11 @@
 //! Finds out which requests and prompt parts crash endpoints, and refuses them.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use mimosaledge_core::{Millis, quarantine::QuarantineStatus};
 use mimosaledge_peer::{Message, SuspectReport};
 use mimosaledge_policy::{
-    crashing_parts::{CrashSuspect, MAX_RESPONDING_MS},
+    crashing_parts::{CrashStage, CrashSuspect, MAX_RESPONDING_MS, MIN_GAP_MS},
     health::Outcome,
 };
 use tokio::{task::spawn_local, time::sleep};
@@ -25,7 +25,8 @@
 ///
 /// After a crash, the request and the parts of its prompt become suspects, and the
 /// crash is reported to other gateways. `received` is the time at which the head of
-/// the response was received, if it was.
+/// the response was received, if it was; an engine that crashes as it begins to write may
+/// have sent a part of the head, or nothing.
 pub(crate) fn check_for_crash(
     gateway: &Rc<Gateway>,
     context: &Rc<RequestContext>,
@@ -48,12 +49,31 @@
         let responding_ms = received.map(|it| lost.since(it));
         log_crash(&context, &handle, responding_ms);
         record_request(&gateway, &context, &handle);
-        if responding_ms.is_some_and(|it| it <= MAX_RESPONDING_MS) {
-            record_parts(&gateway, &context, &handle, lost);
+        if let Some(stage) = crash_stage(responding_ms) {
+            let crashed = separate_crash(&context, lost);
+            record_parts(&gateway, &context, &handle, stage, crashed);
         }
     });
 }
 
+/// Returns the time of a crash as it is recorded: a request that was sent again crashes the
+/// next endpoint after the one before, not together with it.
+fn separate_crash(context: &RequestContext, lost: Millis) -> Millis {
+    let crashed = context.last_crash.get().map_or(lost, |it| lost.max(it + MIN_GAP_MS));
+    context.last_crash.set(Some(crashed));
+    crashed
+}
+
+/// Returns how far an endpoint was with a request when it crashed, or `None` if it had been
+/// responding for so long that the parts of the prompt are sound.
+fn crash_stage(responding_ms: Option<u64>) -> Option<CrashStage> {
+    match responding_ms {
+        None => Some(CrashStage::Waiting),
+        Some(ms) if ms <= MAX_RESPONDING_MS => Some(CrashStage::Responding),
+        Some(_) => None,
+    }
+}
+
 /// Logs that a request was in flight at an endpoint when the links to all were lost.
 fn log_cut(context: &RequestContext, handle: &EndpointHandle) {
     spdlog::info!(
@@ -86,20 +106,52 @@
 
 /// Records the parts of a prompt as suspects, and tells all other gateways at once; the
 /// next heartbeats repeat it.
-fn record_parts(gateway: &Gateway, context: &RequestContext, handle: &EndpointHandle, at: Millis) {
+fn record_parts(
+    gateway: &Gateway,
+    context: &RequestContext,
+    handle: &EndpointHandle,
+    stage: CrashStage,
+    at: Millis,
+) {
     let now = gateway.now();
     let mut reports = Vec::new();
     for (depth, part) in context.shared_parts.iter().enumerate() {
         let depth = u8::try_from(depth).unwrap_or(u8::MAX);
         let suspect = CrashSuspect { part: *part, depth, crash: handle.node() };
-        if gateway.crashing_parts.borrow_mut().record_crash(suspect, at) {
-            gateway.peers.borrow_mut().report_suspect(suspect, at);
+        if gateway.crashing_parts.borrow_mut().record_crash(suspect, stage, at) {
+            gateway.peers.borrow_mut().report_suspect(suspect, stage, at);
             reports.push(SuspectReport { suspect, age_ms: now.since(at) });
         }
     }
     if !reports.is_empty() {
         let recipients = gateway.peers.borrow().urgent_recipients(now);
-        datagrams::send_now(gateway, Message::Suspects(reports), &recipients);
+        send_reports(gateway, stage, reports, &recipients);
+    }
+}
+
+/// Sends reports of suspects to the gateways that know such reports.
+fn send_reports(
+    gateway: &Gateway,
+    stage: CrashStage,
+    reports: Vec<SuspectReport>,
+    recipients: &[Ipv4Addr],
+) {
+    match stage {
+        CrashStage::Responding => {
+            datagrams::send_now(gateway, Message::Suspects(reports), recipients);
+        }
+        CrashStage::Waiting => {
+            let recipients = gateway.peers.borrow().knowing_copies(recipients);
+            datagrams::send_now(gateway, Message::WaitingSuspects(reports), &recipients);
+        }
+    }
+}
+
+/// Repeats the reports of waiting suspects with a heartbeat, since datagrams may be lost.
+pub(crate) fn repeat_reports(gateway: &Gateway, recipients: &[Ipv4Addr]) {
+    let reports = gateway.peers.borrow().suspect_reports(CrashStage::Waiting, gateway.now());
+    if !reports.is_empty() {
+        send_reports(gateway, CrashStage::Waiting, reports, recipients);
     }
 }
 
@@ -107,12 +159,13 @@
 pub(crate) fn apply_reports(
     gateway: &Gateway,
     suspects: &[SuspectReport],
+    stage: CrashStage,
     sound_parts: &[u64],
     now: Millis,
 ) {
     let mut parts = gateway.crashing_parts.borrow_mut();
     for report in suspects {
-        parts.record_crash(report.suspect, now - report.age_ms);
+        parts.record_crash(report.suspect, stage, now - report.age_ms);
     }
     if !sound_parts.is_empty() {
         parts.record_completion(sound_parts, now);
@@ -123,9 +176,14 @@
 /// succeeded, the parts of its prompt are sound as well.
 pub(crate) fn clear(gateway: &Gateway, context: &RequestContext, succeeded: bool) {
     gateway.quarantine.borrow_mut().clear_suspect(context.fingerprint);
-    if !succeeded {
-        return;
+    if succeeded {
+        record_sound_parts(gateway, context);
     }
+}
+
+/// Records that the parts of a prompt are sound, since an endpoint has responded for longer
+/// than a crash takes.
+pub(crate) fn record_sound_parts(gateway: &Gateway, context: &RequestContext) {
     let now = gateway.now();
     let cleared = gateway.crashing_parts.borrow_mut().record_completion(&context.shared_parts, now);
     if !cleared.is_empty() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,8 @@
 use mimosaledge_core::Millis;
 use mimosaledge_net::server::{Aborted, ReplyBody};
 use mimosaledge_policy::{
-    RetryPolicy, admission::Progress, events::EventSplitter, health::Outcome,
+    RetryPolicy, admission::Progress, crashing_parts::MAX_RESPONDING_MS, events::EventSplitter,
+    health::Outcome,
 };
 use tokio::time::{sleep, timeout};
 
@@ -55,6 +56,8 @@
     last_events: Millis,
     /// Longest wait for events after the first chunk, in milliseconds.
     max_gap_ms: u64,
+    /// Whether the parts of the prompt have turned out to be sound.
+    is_sound: bool,
     /// Whether the outcome of the stream has been logged.
     finished: bool,
 }
@@ -82,6 +85,7 @@
         chunks: 0,
         last_events: gateway.now(),
         max_gap_ms: 0,
+        is_sound: false,
         finished: false,
     };
     let chunks = unfold(Some(relay), |relay| async {
@@ -172,6 +176,7 @@
     fn record_chunk(&mut self) {
         self.chunks += 1;
         self.upstream.may_end = true;
+        self.check_for_sound_parts();
         if self.retry_state.build.is_some() {
             return;
         }
@@ -182,6 +187,16 @@
         }
     }
 
+    /// Clears the parts of the prompt once an endpoint has sent events for so long that a crash
+    /// would have come before.
+    fn check_for_sound_parts(&mut self) {
+        let responding_ms = self.gateway.now().since(self.upstream.received);
+        if !self.is_sound && responding_ms > MAX_RESPONDING_MS {
+            self.is_sound = true;
+            quarantine::record_sound_parts(&self.gateway, &self.context);
+        }
+    }
+
     /// Returns the time since the last events arrived, in milliseconds.
     fn silent_ms(&self) -> u64 {
         self.gateway.now().since(self.last_events)
@@ -319,7 +334,7 @@
         {
             handle.pool.release(connection);
         }
-        quarantine::clear(&self.gateway, &self.context, true);
+        quarantine::clear(&self.gateway, &self.context, !self.is_sound);
         self.log("complete", "");
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,7 +1,7 @@
 //! Handles a client's request: checks it against the configuration, reads its
 //! body, selects its service and obtains a response.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use hyper::{
     Request, Response,
@@ -191,6 +191,7 @@
         size,
         arrived,
         deadline,
+        last_crash: Cell::default(),
     })
 }
 
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -1,5 +1,7 @@
 //! An authorized request, as the modules that serve it see it.
 
+use std::cell::Cell;
+
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use mimosaledge_core::{Millis, Name};
@@ -37,6 +39,8 @@
     pub(crate) arrived: Millis,
     /// When the client's deadline or the route's timeout expires.
     pub(crate) deadline: Millis,
+    /// When an endpoint that the request was sent to crashed last.
+    pub(crate) last_crash: Cell<Option<Millis>>,
 }
 
 impl RequestContext {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -52,6 +52,9 @@
     OriginUnknown(u64),
     /// Sent by a gateway that has begun streams, to those that it has not told at once.
     StreamOrigins(Vec<BuildOrigins>),
+    /// Sent by a gateway at which requests waited for the head of a response from an endpoint
+    /// that has crashed, and again with its next heartbeats.
+    WaitingSuspects(Vec<SuspectReport>),
 }
 
 impl Message {
@@ -68,7 +71,7 @@
             | Message::PermitResponse { .. }
             | Message::PermitRelease { .. } => Version::BEFORE_FOOTER,
             Message::OriginUnknown(_) => Version::ORIGIN_DENIALS,
-            Message::StreamOrigins(_) => Version::ORIGIN_COPIES,
+            Message::StreamOrigins(_) | Message::WaitingSuspects(_) => Version::ORIGIN_COPIES,
         }
     }
 }
--- a/crates/policy/src/crashing_parts.rs
+++ b/crates/policy/src/crashing_parts.rs
@@ -6,6 +6,12 @@
 //! that completes is sound: its crashes so far no longer count. Of the parts that reach the
 //! limit, the one with the strongest evidence is the culprit, and its crashes no longer
 //! count for any other part. Only culprits are refused.
+//!
+//! An engine may crash before the head of its response is complete, so that requests which
+//! wait for one are suspects as well. Many wait at an engine at any time, and nearly all may
+//! share a part, so that this says less: more crashes are needed, a part that has completed
+//! shortly before is no suspect, and without requests that complete meanwhile without the
+//! part, it may as well be the engines that fail.
 
 use std::collections::{HashMap, HashSet};
 
@@ -14,16 +20,29 @@
 
 use crate::sound_parts::SoundParts;
 
-/// Number of crashes that make a part a culprit.
+/// Number of crashes that make a part a culprit, of engines that had begun to respond.
 pub const CRASH_LIMIT: usize = 3;
-/// Time for which the response may have lasted at the time of the crash, in milliseconds.
+/// The same of engines at which the request was waiting.
+pub const WAITING_CRASH_LIMIT: usize = 5;
+/// Weight of the crashes that make a part a culprit, so that both kinds add up.
+const WEIGHT_LIMIT: usize = CRASH_LIMIT * WAITING_CRASH_LIMIT;
+/// Number of requests without a part that must have completed since its first crash, for the
+/// part to be a culprit by crashes at which it was waiting.
+const MIN_OTHERS: u64 = 4;
+/// Time after its last completion for which a part that was waiting is no suspect, in
+/// milliseconds.
+const RECENT_MS: u64 = 30_000;
+/// Time for which the response may have lasted at the time of the crash, in milliseconds; a
+/// response that lasts longer shows that its parts are sound.
 pub const MAX_RESPONDING_MS: u64 = 500;
 /// Crashes that follow each other by less count once, in milliseconds, since engines that
 /// crash together have a common cause.
-const MIN_GAP_MS: u64 = 100;
+pub const MIN_GAP_MS: u64 = 100;
 /// Time for which a culprit is refused after its last crash, in milliseconds; each crash
 /// beyond the limit doubles it.
 const QUARANTINE_MS: u64 = 120_000;
+/// The same time for a culprit by crashes at which it was waiting, in milliseconds.
+const WAITING_QUARANTINE_MS: u64 = 30_000;
 /// Maximum number of times that it is doubled.
 const MAX_DOUBLINGS: usize = 5;
 /// The same time for a part that has completed before, in milliseconds: crashes of another
@@ -36,7 +55,25 @@
 /// Maximum number of crashes that are kept for one suspect, the latest.
 const MAX_CRASHES: usize = 64;
 
-/// A part of a request to which an engine had begun to respond when it crashed.
+/// How far an engine was with a request when it crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CrashStage {
+    /// The head of the response was not received; the engine may not have begun.
+    Waiting,
+    /// The engine had just begun to respond.
+    Responding,
+}
+
+impl CrashStage {
+    fn weight(self) -> usize {
+        match self {
+            CrashStage::Waiting => WEIGHT_LIMIT / WAITING_CRASH_LIMIT,
+            CrashStage::Responding => WEIGHT_LIMIT / CRASH_LIMIT,
+        }
+    }
+}
+
+/// A part of a request that was in flight at an engine when it crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashSuspect {
     /// Identifier of the part.
@@ -60,10 +97,36 @@
 struct Crash {
     id: u64,
     at: Millis,
+    stage: CrashStage,
+    /// Number of requests that had completed here before it was recorded.
+    completions: u64,
     /// Whether the part has not completed since.
     counts: bool,
 }
 
+/// What the crashes of a suspect say.
+#[derive(Debug, Clone, Copy, Default)]
+struct Evidence {
+    weight: usize,
+    /// Weight of the crashes of engines that had begun to respond.
+    responding: usize,
+    /// Number of requests that had completed before the first of the crashes.
+    completions: u64,
+}
+
+impl Evidence {
+    /// Returns how often the quarantine is doubled.
+    fn doublings(&self) -> usize {
+        let beyond = self.weight - WEIGHT_LIMIT;
+        (beyond / CrashStage::Responding.weight()).min(MAX_DOUBLINGS)
+    }
+
+    /// Returns whether the crashes of engines that had begun to respond are enough.
+    fn is_direct(&self) -> bool {
+        self.responding >= WEIGHT_LIMIT
+    }
+}
+
 #[derive(Debug)]
 struct Suspect {
     depth: u8,
@@ -76,17 +139,41 @@
         self.crashes.last().map_or(Millis::default(), |it| it.at)
     }
 
-    /// Returns the number of crashes that count and are not among `explained`.
-    fn count(&self, explained: &HashSet<u64>) -> usize {
-        let mut count = 0;
+    /// Weighs the crashes that count and are not among `explained`; of those that follow each
+    /// other closely, the first.
+    fn weigh(&self, explained: &HashSet<u64>) -> Evidence {
+        let mut evidence = Evidence::default();
         let mut last_counted: Option<Millis> = None;
         for crash in self.crashes.iter().filter(|it| it.counts && !explained.contains(&it.id)) {
-            if last_counted.is_none_or(|at| crash.at.since(at) >= MIN_GAP_MS) {
-                count += 1;
-                last_counted = Some(crash.at);
+            if last_counted.is_some_and(|at| crash.at.since(at) < MIN_GAP_MS) {
+                continue;
+            }
+            if last_counted.is_none() {
+                evidence.completions = crash.completions;
             }
+            last_counted = Some(crash.at);
+            evidence.weight += crash.stage.weight();
+            if crash.stage == CrashStage::Responding {
+                evidence.responding += crash.stage.weight();
+            }
+        }
+        evidence
+    }
+
+    /// Adds a crash, or learns that its engine had begun to respond; returns whether that was
+    /// not known.
+    fn record(&mut self, crash: Crash) -> bool {
+        if let Some(known) = self.crashes.iter_mut().find(|it| it.id == crash.id) {
+            let is_news = known.stage < crash.stage;
+            known.stage = known.stage.max(crash.stage);
+            return is_news;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
         }
-        count
+        let index = self.crashes.partition_point(|it| it.at <= crash.at);
+        self.crashes.insert(index, crash);
+        true
     }
 }
 
@@ -97,33 +184,35 @@
     /// The culprits, with the time until which each is refused.
     culprits: HashMap<u64, Millis>,
     sound: SoundParts,
+    /// Number of requests that have completed here.
+    completions: u64,
+    /// Whether a part is no culprit only for want of completions without it.
+    lacks_others: bool,
 }
 
 impl CrashingParts {
     /// Records that a part was in a prompt during a crash at the time `at`; returns whether
     /// that was not known.
-    pub fn record_crash(&mut self, suspect: CrashSuspect, at: Millis) -> bool {
-        self.evict_if_full(at);
+    pub fn record_crash(&mut self, suspect: CrashSuspect, stage: CrashStage, at: Millis) -> bool {
         let CrashSuspect { part, depth, crash } = suspect;
-        let entry = self.suspects.entry(part).or_insert(Suspect { depth, crashes: Vec::new() });
-        if entry.crashes.iter().any(|it| it.id == crash) {
+        if stage == CrashStage::Waiting && self.sound.contains_since(part, at, RECENT_MS) {
             return false;
         }
-        if entry.crashes.len() >= MAX_CRASHES {
-            entry.crashes.remove(0);
-        }
-        let index = entry.crashes.partition_point(|it| it.at <= at);
-        entry.crashes.insert(index, Crash { id: crash, at, counts: true });
-        if entry.crashes.len() >= CRASH_LIMIT {
+        self.evict_if_full(at);
+        let crash = Crash { id: crash, at, stage, completions: self.completions, counts: true };
+        let entry = self.suspects.entry(part).or_insert(Suspect { depth, crashes: Vec::new() });
+        let is_news = entry.record(crash);
+        if is_news && entry.crashes.len() >= CRASH_LIMIT {
             self.find_culprits();
         }
-        true
+        is_news
     }
 
     /// Records that a request whose prompt contains `parts` has completed, so that they are
     /// sound; returns those that were suspects.
     pub fn record_completion(&mut self, parts: &[u64], now: Millis) -> Vec<u64> {
         let mut cleared = Vec::new();
+        self.completions += u64::from(!parts.is_empty());
         for part in parts {
             self.sound.insert(*part, now);
             let Some(suspect) = self.suspects.get_mut(part) else { continue };
@@ -132,7 +221,7 @@
                 cleared.push(*part);
             }
         }
-        if !cleared.is_empty() {
+        if !cleared.is_empty() || self.lacks_others {
             self.find_culprits();
         }
         cleared
@@ -152,29 +241,45 @@
     /// crashes, then the one further back in its prompt, which fewer prompts share.
     fn find_culprits(&mut self) {
         self.culprits.clear();
+        self.lacks_others = false;
         let mut explained = HashSet::new();
-        loop {
-            let candidates = self
-                .suspects
-                .iter()
-                .filter(|(_, it)| it.crashes.len() >= CRASH_LIMIT)
-                .filter(|(part, _)| !self.culprits.contains_key(part));
-            let strongest = candidates
-                .map(|(part, suspect)| (suspect.count(&explained), *part, suspect))
-                .filter(|(count, _, _)| *count >= CRASH_LIMIT)
-                .max_by_key(|(count, part, suspect)| {
-                    (!self.sound.contains(*part), *count, suspect.depth, *part)
-                });
-            let Some((count, part, suspect)) = strongest else { return };
-            let quarantine_ms = match self.sound.contains(part) {
-                true => SOUND_QUARANTINE_MS,
-                false => QUARANTINE_MS << (count - CRASH_LIMIT).min(MAX_DOUBLINGS),
+        while let Some((part, evidence)) = self.find_strongest(&explained) {
+            let suspect = &self.suspects[&part];
+            let quarantine_ms = match (self.sound.contains(part), evidence.is_direct()) {
+                (true, _) => SOUND_QUARANTINE_MS,
+                (false, true) => QUARANTINE_MS << evidence.doublings(),
+                (false, false) => WAITING_QUARANTINE_MS << evidence.doublings(),
             };
             explained.extend(suspect.crashes.iter().map(|it| it.id));
             self.culprits.insert(part, suspect.last_crash() + quarantine_ms);
         }
     }
 
+    /// Returns the strongest suspect that reaches the limit and is no culprit yet.
+    fn find_strongest(&mut self, explained: &HashSet<u64>) -> Option<(u64, Evidence)> {
+        let mut strongest = None;
+        for (part, suspect) in &self.suspects {
+            if suspect.crashes.len() < CRASH_LIMIT || self.culprits.contains_key(part) {
+                continue;
+            }
+            let evidence = suspect.weigh(explained);
+            if evidence.weight < WEIGHT_LIMIT {
+                continue;
+            }
+            // A completion with the part would have cleared it: these are without.
+            let others = self.completions - evidence.completions;
+            if !evidence.is_direct() && others < MIN_OTHERS {
+                self.lacks_others = true;
+                continue;
+            }
+            let rank = (!self.sound.contains(*part), evidence.weight, suspect.depth, *part);
+            if strongest.is_none_or(|(best, _)| rank > best) {
+                strongest = Some((rank, evidence));
+            }
+        }
+        strongest.map(|((.., part), evidence)| (part, evidence))
+    }
+
     fn evict_if_full(&mut self, now: Millis) {
         if self.suspects.len() < MAX_SUSPECTS {
             return;
--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -1,7 +1,9 @@
 //! Recognition of a prompt part that crashes engines, among parts that were merely there.
 
 use mimosaledge_core::Millis;
-use mimosaledge_policy::crashing_parts::{CRASH_LIMIT, CrashSuspect, CrashingParts};
+use mimosaledge_policy::crashing_parts::{
+    CRASH_LIMIT, CrashStage, CrashSuspect, CrashingParts, WAITING_CRASH_LIMIT,
+};
 
 const NOW: Millis = Millis(1_000_000);
 const FIRST: u64 = 1;
@@ -34,6 +36,16 @@
     part_with_many_crashes_stays_refused => many_crashes_case();
 }
 
+// Guards against a part that is never recognized since its crashes cut the head of the response
+// (LOST), and against refusing what merely waited at engines that crash (LOST).
+cases! {
+    part_that_waits_is_refused_after_its_fifth_crash => waiting_case();
+    crashes_of_both_kinds_add_up => mixed_case();
+    later_report_that_an_engine_had_begun_counts => upgraded_case();
+    part_of_all_requests_that_waits_is_served => shared_part_case();
+    part_that_has_just_completed_is_no_suspect_while_it_waits => recent_part_case();
+}
+
 fn suspect(part: u64, depth: u8, crash: u64) -> CrashSuspect {
     CrashSuspect { part, depth, crash }
 }
@@ -44,9 +56,18 @@
 
 /// Records crashes half a second apart, each with `in_flight` parts.
 fn crash(parts: &mut CrashingParts, crashes: std::ops::Range<u64>, in_flight: &[(u64, u8)]) {
+    crash_at(CrashStage::Responding, parts, crashes, in_flight);
+}
+
+fn crash_at(
+    stage: CrashStage,
+    parts: &mut CrashingParts,
+    crashes: std::ops::Range<u64>,
+    in_flight: &[(u64, u8)],
+) {
     for number in crashes {
         for (part, depth) in in_flight {
-            parts.record_crash(suspect(*part, *depth, number), NOW + 500 * number);
+            parts.record_crash(suspect(*part, *depth, number), stage, NOW + 500 * number);
         }
     }
 }
@@ -94,9 +115,13 @@
 
 fn repeated_case() {
     let mut parts = CrashingParts::default();
-    assert!(parts.record_crash(suspect(CRASHING, 1, 7), NOW));
+    assert!(parts.record_crash(suspect(CRASHING, 1, 7), CrashStage::Responding, NOW));
     for number in 1..10 {
-        assert!(!parts.record_crash(suspect(CRASHING, 1, 7), NOW + 300 * number));
+        assert!(!parts.record_crash(
+            suspect(CRASHING, 1, 7),
+            CrashStage::Responding,
+            NOW + 300 * number
+        ));
     }
     assert!(!is_refused(&parts, CRASHING, NOW + 3_000));
 }
@@ -113,7 +138,7 @@
 fn common_cause_case() {
     let mut parts = CrashingParts::default();
     for number in 0..9 {
-        parts.record_crash(suspect(FIRST, 0, number), NOW + number);
+        parts.record_crash(suspect(FIRST, 0, number), CrashStage::Responding, NOW + number);
     }
     assert!(!is_refused(&parts, FIRST, NOW + 10));
 }
@@ -131,7 +156,7 @@
     crash(&mut parts, 0..3, &[(CRASHING, 1)]);
     let released = NOW + 121_000;
     assert!(!is_refused(&parts, CRASHING, released));
-    parts.record_crash(suspect(CRASHING, 1, 9), released);
+    parts.record_crash(suspect(CRASHING, 1, 9), CrashStage::Responding, released);
     let culprit = parts.find_refused(&[CRASHING], released).unwrap();
     assert_eq!(culprit.retry_ms, 240_000);
 }
@@ -143,6 +168,65 @@
     assert!(is_refused(&parts, CRASHING, after_last));
     let much_later = NOW + 2 * 3_600_000;
     assert!(!is_refused(&parts, CRASHING, much_later));
-    parts.record_crash(suspect(CRASHING, 1, 900), much_later);
+    parts.record_crash(suspect(CRASHING, 1, 900), CrashStage::Responding, much_later);
     assert!(is_refused(&parts, CRASHING, much_later));
 }
+
+/// Completes requests with other parts.
+fn complete_others(parts: &mut CrashingParts) {
+    for number in 0..4 {
+        parts.record_completion(&[100 + number], NOW);
+    }
+}
+
+fn waiting_case() {
+    let mut parts = CrashingParts::default();
+    let limit = WAITING_CRASH_LIMIT as u64;
+    crash_at(CrashStage::Waiting, &mut parts, 0..limit - 1, &[(CRASHING, 1)]);
+    complete_others(&mut parts);
+    assert!(!is_refused(&parts, CRASHING, NOW + 2_500));
+    crash_at(CrashStage::Waiting, &mut parts, limit - 1..limit, &[(CRASHING, 1)]);
+    let culprit = parts.find_refused(&[FIRST, CRASHING], NOW + 2_000).unwrap();
+    assert_eq!((culprit.part, culprit.retry_ms), (CRASHING, 30_000));
+}
+
+fn mixed_case() {
+    let mut parts = CrashingParts::default();
+    crash_at(CrashStage::Waiting, &mut parts, 0..2, &[(CRASHING, 1)]);
+    complete_others(&mut parts);
+    crash(&mut parts, 2..3, &[(CRASHING, 1)]);
+    assert!(!is_refused(&parts, CRASHING, NOW + 1_500));
+    crash(&mut parts, 3..4, &[(CRASHING, 1)]);
+    assert!(is_refused(&parts, CRASHING, NOW + 2_000));
+}
+
+fn upgraded_case() {
+    let mut parts = CrashingParts::default();
+    crash_at(CrashStage::Waiting, &mut parts, 0..3, &[(CRASHING, 1)]);
+    assert!(!is_refused(&parts, CRASHING, NOW + 1_500));
+    crash(&mut parts, 0..3, &[(CRASHING, 1)]);
+    assert!(is_refused(&parts, CRASHING, NOW + 1_500));
+}
+
+fn shared_part_case() {
+    let mut parts = CrashingParts::default();
+    crash_at(CrashStage::Waiting, &mut parts, 0..50, &[(FIRST, 0)]);
+    assert!(!is_refused(&parts, FIRST, NOW + 25_000));
+    // What completes then has the part.
+    parts.record_completion(&[FIRST, RARE], NOW + 25_000);
+    assert!(!is_refused(&parts, FIRST, NOW + 25_000));
+}
+
+fn recent_part_case() {
+    let mut parts = CrashingParts::default();
+    parts.record_completion(&[FIRST], NOW);
+    complete_others(&mut parts);
+    crash_at(CrashStage::Waiting, &mut parts, 0..60, &[(FIRST, 0)]);
+    complete_others(&mut parts);
+    assert!(!is_refused(&parts, FIRST, NOW + 30_000));
+    // It has not completed for a while.
+    crash_at(CrashStage::Waiting, &mut parts, 60..65, &[(FIRST, 0)]);
+    assert!(!is_refused(&parts, FIRST, NOW + 32_500));
+    complete_others(&mut parts);
+    assert!(is_refused(&parts, FIRST, NOW + 32_500));
+}
