Treat a client's own take-up like a stream that the gateway resumes

Cause: that such a response is no end was known only where the gateway resumes a stream. The first response to a client's take-up, and to a new stream, could end it without an event; and a take-up took an event of another type of content.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -99,7 +99,11 @@
         };
         let error = match opened {
             Ok(open) if context.route().streaming && open.head.status.is_success() => {
-                return Ok(relay::start(gateway, context, open, retry_state));
+                if relay::is_asked_for(&context, &open) {
+                    return Ok(relay::start(gateway, context, open, retry_state));
+                }
+                let (error, cause) = (AttemptError::Unknown, "no continuation of the stream");
+                log_failure(gateway, &context, &handle, error, cause)
             }
             Ok(open) => match collect_response(gateway, &context, open).await {
                 Ok(response) if !should_retry(&context, &response) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use futures_util::stream::unfold;
 use http_body_util::StreamBody;
 use hyper::{
-    Response,
+    HeaderMap, Response,
     body::Frame,
     header::{CONTENT_TYPE, HeaderValue},
 };
@@ -35,6 +35,8 @@
     upstream::Upstream,
 };
 
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Minimum time without data after which the endpoint of a resumable stream counts as
 /// silent, in milliseconds.
 const MIN_GAP_TIMEOUT_MS: u64 = 1_000;
@@ -62,6 +64,21 @@
     finished: bool,
 }
 
+/// Returns whether a response may be the stream that a request asks for: one that resumes a
+/// stream gets events, and nothing that reads like them.
+pub(crate) fn is_asked_for(context: &RequestContext, open: &OpenResponse) -> bool {
+    let is_resume =
+        context.route().retry == RetryPolicy::Resume && context.metadata.last_event.is_some();
+    !is_resume || has_events(&open.head.headers)
+}
+
+/// Returns whether the type of the content is that of event streams.
+fn has_events(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|it| it.to_str().ok());
+    let media_type = content_type.and_then(|it| it.split(';').next()).unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
 /// Returns a response that forwards the stream that `open` begins.
 pub(crate) fn start(
     gateway: &Rc<Gateway>,
@@ -71,7 +88,8 @@
 ) -> Response<ReplyBody> {
     strip_hop_by_hop_headers(&mut open.head.headers);
     let head = open.head.clone();
-    let splitter = match context.route().retry {
+    let retry = context.route().retry;
+    let splitter = match retry {
         RetryPolicy::Resume => EventSplitter::after(context.metadata.last_event),
         _ => EventSplitter::default(),
     };
@@ -80,7 +98,7 @@
         splitter,
         context,
         content_type: head.headers.get(CONTENT_TYPE).cloned(),
-        upstream: Upstream::from_first(open),
+        upstream: Upstream::from_response(open, retry),
         retry_state,
         chunks: 0,
         last_events: gateway.now(),
@@ -258,7 +276,7 @@
                         attempt.handle.endpoint.borrow().build,
                         interruption.log_label()
                     );
-                    self.upstream = Upstream::from_resumed(open);
+                    self.upstream = Upstream::from_response(open, self.context.route().retry);
                     return true;
                 }
                 Ok(Ok(_)) => {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use hyper::body::Incoming;
 use mimosaledge_core::Millis;
+use mimosaledge_policy::RetryPolicy;
 
 use crate::{
     attempt::OpenResponse, framing::Framing, loads::InFlight, permit::Permit, pool::Connection,
@@ -24,22 +25,17 @@
 }
 
 impl Upstream {
-    /// Takes the first response to a request.
-    pub(crate) fn from_first(open: OpenResponse) -> Upstream {
-        let may_end = open.framing != Framing::Connection;
-        Upstream::from_open(open, may_end)
-    }
-
-    /// Takes a response that resumes a stream.
+    /// Takes the response of an endpoint to a request, the first one or one that resumes its
+    /// stream.
     ///
     /// An endpoint that has nothing to add to a stream ends it like one with events: an error
-    /// without a text has a length.
-    pub(crate) fn from_resumed(open: OpenResponse) -> Upstream {
-        let may_end = open.framing == Framing::Chunks;
-        Upstream::from_open(open, may_end)
-    }
-
-    fn from_open(open: OpenResponse, may_end: bool) -> Upstream {
+    /// without a text has a length. What cannot be sent again is the client's as it is, unless
+    /// its head may have broken off.
+    pub(crate) fn from_response(open: OpenResponse, retry: RetryPolicy) -> Upstream {
+        let may_end = match (open.framing, retry) {
+            (Framing::Chunks, _) | (Framing::Length, RetryPolicy::Never) => true,
+            (Framing::Length, _) | (Framing::Connection, _) => false,
+        };
         Upstream {
             in_flight: open.in_flight,
             _permit: open.permit,
