Begin nothing in a planned stop that cannot end, and answer what is cut

Cause: the phases of a stop look at connections; nothing asked, when a request was passed on, how much of the grace period was left, and at the end nobody was told. Read off the code, shown by planned_stop: on five of seven tests fail (body too late, plain and stream; late retry; no body; work to the end).

Now a request is sent, at every attempt and hand-over, only if its deadline or the time that nine in ten of the latest requests of its route took is over half a second before the grace period ends; otherwise 503 with Retry-After. At that moment requests without a response get one: 503 if not sent, 502 otherwise. Seven of seven pass. exit_log_case asked for the log line of a cut request; such a request is answered now, so it asks for that answer's line, and for the line of a stream, which is still cut: one check more.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -120,7 +120,10 @@
     let build = || {
         let now = gateway.now();
         let is_allowed = permit.is_usable(now) && context.remaining_ms(now) > 0;
-        is_allowed.then(|| build_request(gateway, context, handle, last_event))
+        is_allowed.then(|| {
+            context.is_sent.set(true);
+            build_request(gateway, context, handle, last_event)
+        })
     };
     let sent = handle.pool.send_on(choice, build).await;
     let now = gateway.now();
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -25,7 +25,7 @@
     quarantine, relay,
     request_context::RequestContext,
     retry_state::RetryState,
-    selection::{self, MIN_REMAINING_MS, Selection},
+    selection::{self, MIN_REMAINING_MS, Selection, Unavailable},
     silence::{Waited, Waiting},
 };
 
@@ -58,6 +58,9 @@
     if let Some(retry_ms) = quarantine::find_refusal(gateway, &context) {
         return Err(ErrorResponse::with_retry_after(Code::Crasher, retry_ms));
     }
+    if !selection::ends_in_time(gateway, &context) {
+        return Err(stopping_error(&context.metadata.attempt_id));
+    }
     if is_forward_due {
         let forwarded = forward::run(gateway, &context, &mut retry_state.sends).await;
         return forwarded.map_err(|it| forward_error(&context, it));
@@ -163,16 +166,23 @@
 fn forward_error(context: &RequestContext, error: ForwardError) -> ErrorResponse {
     match error {
         ForwardError::NotRun | ForwardError::NoEndpoint => {
-            ErrorResponse::with_retry_after(Code::NoEndpoint, retry_after_ms(context, 0))
+            let retry_ms = retry_after_ms(&context.metadata.attempt_id, 0);
+            ErrorResponse::with_retry_after(Code::NoEndpoint, retry_ms)
         }
         ForwardError::Unknown => ErrorResponse::from_code(Code::Unknown),
         ForwardError::Timeout => ErrorResponse::from_code(Code::Timeout),
     }
 }
 
+/// Returns the error response for a request that would not end before this gateway exits; the
+/// others serve it at once.
+pub(crate) fn stopping_error(attempt_id: &str) -> ErrorResponse {
+    ErrorResponse::with_retry_after(Code::Stopping, retry_after_ms(attempt_id, 0))
+}
+
 /// Returns the retry delay for a request that can be accepted after `wait_ms`.
-fn retry_after_ms(context: &RequestContext, wait_ms: u64) -> u64 {
-    let jitter_ms = hash64(context.metadata.attempt_id.as_bytes()) % MIN_RETRY_AFTER_MS;
+fn retry_after_ms(attempt_id: &str, wait_ms: u64) -> u64 {
+    let jitter_ms = hash64(attempt_id.as_bytes()) % MIN_RETRY_AFTER_MS;
     MIN_RETRY_AFTER_MS.max(wait_ms) + jitter_ms
 }
 
@@ -201,6 +211,9 @@
             );
             Err(ErrorResponse::with_retry_after(Code::Overloaded, retry_ms))
         }
+        Selection::Unavailable(Unavailable::Stopping) if !retry_state.may_have_run() => {
+            Err(stopping_error(&context.metadata.attempt_id))
+        }
         Selection::Overloaded | Selection::Unavailable(_) => Ok(None),
     }
 }
@@ -266,6 +279,10 @@
         handle.pool.release(connection);
     }
     let is_error = head.status.is_server_error();
+    if !is_error {
+        let work_ms = now.since(in_flight.started());
+        gateway.work_times.borrow_mut().record(&context.route().name, work_ms);
+    }
     handle.record_outcome(
         &gateway.settings.policy,
         if is_error { Outcome::Failed } else { Outcome::Answered },
@@ -318,5 +335,5 @@
         Code::Refused
     };
     let wait_ms = selection::wait_ms(gateway, context);
-    ErrorResponse::with_retry_after(code, retry_after_ms(context, wait_ms))
+    ErrorResponse::with_retry_after(code, retry_after_ms(&context.metadata.attempt_id, wait_ms))
 }
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 
+use mimosaledge_core::Millis;
 use tokio::sync::watch;
 
 /// Phase of a graceful shutdown.
@@ -14,7 +15,9 @@
     Leaving,
     /// No new connections; each open one closes after its request in flight.
     Closing,
-    /// The process exits, and requests still in flight are cut.
+    /// Requests that have no response yet get an error response.
+    Answering,
+    /// The process exits, and streams still in flight are cut.
     Exiting,
 }
 
@@ -22,12 +25,18 @@
 #[derive(Debug)]
 pub(crate) struct Drain {
     phase: watch::Sender<Phase>,
+    /// When [`Phase::Answering`] begins, once a shutdown has begun.
+    answers_at: Cell<Option<Millis>>,
     connections: Cell<usize>,
 }
 
 impl Default for Drain {
     fn default() -> Drain {
-        Drain { phase: watch::Sender::new(Phase::Serving), connections: Cell::new(0) }
+        Drain {
+            phase: watch::Sender::new(Phase::Serving),
+            answers_at: Cell::default(),
+            connections: Cell::new(0),
+        }
     }
 }
 
@@ -39,13 +48,24 @@
 
     /// Returns why a request that is dropped now ends without a response.
     pub(crate) fn cancel_cause(&self) -> &'static str {
-        if *self.phase.borrow() == Phase::Exiting {
+        if *self.phase.borrow() >= Phase::Answering {
             "gateway stopped"
         } else {
             "client disconnected"
         }
     }
 
+    /// Begins a shutdown in which requests can end until `answers_at`.
+    pub(crate) fn begin(&self, answers_at: Millis) {
+        self.answers_at.set(Some(answers_at));
+        self.enter(Phase::Leaving);
+    }
+
+    /// Returns whether a request that takes `ms` ends before requests are cut.
+    pub(crate) fn allows(&self, ms: u64, now: Millis) -> bool {
+        self.answers_at.get().is_none_or(|it| ms <= it.since(now))
+    }
+
     /// Enters `phase` and notifies the tasks that wait for it.
     pub(crate) fn enter(&self, phase: Phase) {
         self.phase.send_replace(phase);
@@ -53,9 +73,18 @@
 
     /// Waits until connections should be closed.
     pub(crate) async fn wait_for_closing(&self) {
+        self.wait_for(Phase::Closing).await;
+    }
+
+    /// Waits until requests without a response must get one.
+    pub(crate) async fn wait_for_answering(&self) {
+        self.wait_for(Phase::Answering).await;
+    }
+
+    async fn wait_for(&self, least: Phase) {
         let mut phase = self.phase.subscribe();
         // This cannot fail, since `self` owns the sender.
-        let _ = phase.wait_for(|it| *it >= Phase::Closing).await;
+        let _ = phase.wait_for(|it| *it >= least).await;
     }
 
     /// Counts a client connection as open until the guard is dropped.
--- a/crates/gateway/src/error_response.rs
+++ b/crates/gateway/src/error_response.rs
@@ -37,6 +37,8 @@
     Crasher = 3004,
     /// The request resumes a stream, and it is not known which build began it.
     UnknownBuild = 3011,
+    /// The gateway shuts down before the request could end.
+    Stopping = 3012,
     /// The request was sent to an endpoint and its outcome is unknown.
     Unknown = 4001,
     /// The request was sent to an endpoint and the response timed out.
@@ -81,6 +83,7 @@
             | Code::Refused
             | Code::TooLate
             | Code::UnknownBuild
+            | Code::Stopping
             | Code::Crasher => 503,
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -167,6 +167,7 @@
 ) -> Result<Response<ReplyBody>, ForwardError> {
     let pool = gateway.forward_table.borrow_mut().pool(gateway, peer);
     let request = build_request(gateway, context, sends, peer);
+    context.is_sent.set(true);
     let sent = timeout(remaining(gateway, context), pool.send(request)).await;
     let (response, connection) = match sent {
         Ok(Ok(sent)) => sent,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
     prefix_cache::CachedPrefixes,
     retry_budget::RetryBudget,
     stream_origins::{StreamOrigin, StreamOrigins},
+    work_times::WorkTimes,
 };
 use tokio::{
     net::UdpSocket,
@@ -76,6 +77,8 @@
     pub(crate) quarantine: RefCell<Quarantine<u64>>,
     /// Prompt parts that may have crashed endpoints.
     pub(crate) crashing_parts: RefCell<CrashingParts>,
+    /// Times that requests take, by route.
+    pub(crate) work_times: RefCell<WorkTimes>,
     pub(crate) buffer_total: BufferTotal,
     pub(crate) cached_prefixes: RefCell<CachedPrefixes>,
     /// Builds that endpoints have had lately.
@@ -161,6 +164,7 @@
             retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::new(Quarantine::with_retention(CRASH_RETENTION_MS)),
             crashing_parts: RefCell::default(),
+            work_times: RefCell::default(),
             buffer_total: BufferTotal::default(),
             cached_prefixes: RefCell::default(),
             builds,
@@ -260,6 +264,7 @@
             self.config_version(),
             config.routes.len()
         );
+        self.work_times.borrow_mut().retain(&config.routes);
         *self.routes.borrow_mut() = Rc::new(RouteTable::from_config(&config));
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -182,6 +182,11 @@
         InFlight { handle, key, loads, started }
     }
 
+    /// Returns when the request was sent.
+    pub(crate) fn started(&self) -> Millis {
+        self.started
+    }
+
     /// Returns the endpoint.
     pub(crate) fn handle(&self) -> &Rc<EndpointHandle> {
         &self.handle
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -345,8 +345,11 @@
     /// Records a complete stream and returns its connection to the pool.
     fn finish(&mut self) {
         self.finished = true;
-        let handle = self.upstream.in_flight.handle();
-        handle.record_outcome(&self.gateway.settings.policy, Outcome::Answered, self.gateway.now());
+        let in_flight = &self.upstream.in_flight;
+        let (handle, now) = (in_flight.handle(), self.gateway.now());
+        handle.record_outcome(&self.gateway.settings.policy, Outcome::Answered, now);
+        let work_ms = now.since(in_flight.started());
+        self.gateway.work_times.borrow_mut().record(&self.context.route().name, work_ms);
         if let Some(connection) = self.upstream.connection.take()
             && !self.upstream.closing
         {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -96,11 +96,15 @@
     let reaches_none =
         |group: &EndpointGroup| gateway.endpoint_table.borrow().reach_of(group).is_cut_off();
     let (mut is_cut_off, mut has_lost) = (false, false);
-    let result = match prepare(gateway, head, metadata, body, arrived, handover).await {
+    let prepared = tokio::select! {
+        prepared = prepare(gateway, head, metadata, body, arrived, handover) => prepared,
+        () = gateway.drain.wait_for_answering() => Err(attempts::stopping_error(&attempt_id)),
+    };
+    let result = match prepared {
         Ok(context) => {
             let group = context.group();
             is_cut_off = reaches_none(&group);
-            let result = attempts::run(gateway, Rc::new(context)).await;
+            let result = run_until_stopped(gateway, Rc::new(context)).await;
             has_lost = reaches_none(&group);
             result
         }
@@ -134,6 +138,21 @@
     response
 }
 
+/// Obtains a response from an endpoint. In a shutdown, a request that has none in time gets an
+/// error response, which promises nothing if the request may have been sent.
+async fn run_until_stopped(
+    gateway: &Rc<Gateway>,
+    context: Rc<RequestContext>,
+) -> Result<Response<ReplyBody>, ErrorResponse> {
+    tokio::select! {
+        result = attempts::run(gateway, context.clone()) => result,
+        () = gateway.drain.wait_for_answering() => Err(match context.is_sent.get() {
+            true => ErrorResponse::from_code(Code::Unknown),
+            false => attempts::stopping_error(&context.metadata.attempt_id),
+        }),
+    }
+}
+
 /// Authorizes a request, reads its body and selects its service.
 async fn prepare(
     gateway: &Gateway,
@@ -191,6 +210,7 @@
         size,
         arrived,
         deadline,
+        is_sent: Cell::default(),
         last_crash: Cell::default(),
     })
 }
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -39,6 +39,8 @@
     pub(crate) arrived: Millis,
     /// When the client's deadline or the route's timeout expires.
     pub(crate) deadline: Millis,
+    /// Whether this gateway may have sent the request to an endpoint or another gateway.
+    pub(crate) is_sent: Cell<bool>,
     /// When an endpoint that the request was sent to crashed last.
     pub(crate) last_crash: Cell<Option<Millis>>,
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -34,8 +34,10 @@
 /// Time for which a gateway that shuts down still accepts connections, so that
 /// clients with an older directory response are not refused.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
-/// Time before the end of the grace period at which the process exits.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the end of the grace period at which requests without a response get one.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+/// Maximum time until these responses are written and the process exits.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Interval between two checks whether all connections are closed.
 const CONNECTIONS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -191,12 +193,14 @@
 
 /// Shuts the gateway down gracefully: reports not ready, stops accepting
 /// connections after [`DRAIN_DELAY`], and waits until the open ones have closed
-/// or the grace period ends.
+/// or the grace period is about to end. Requests that have no response by then get an
+/// error response.
 async fn shut_down(gateway: &Rc<Gateway>, accept_task: JoinHandle<()>, log: &LogSink) {
     let started = Instant::now();
     let grace = Duration::from_secs_f64(gateway.bounds.get().grace_s);
-    let deadline = started + grace.saturating_sub(EXIT_MARGIN);
-    gateway.drain.enter(Phase::Leaving);
+    let time_left = grace.saturating_sub(ANSWER_MARGIN);
+    let deadline = started + time_left;
+    gateway.drain.begin(gateway.now() + time_left.as_millis() as u64);
     spdlog::info!("gateway: stopping connections={}", gateway.drain.connections());
     log.send_batch();
     sleep_until((started + DRAIN_DELAY).min(deadline)).await;
@@ -206,9 +210,16 @@
     if accept_task.await.is_err() {
         spdlog::error!("gateway: listener failed");
     }
+    wait_for_connections(gateway, deadline).await;
+    gateway.drain.enter(Phase::Answering);
+    wait_for_connections(gateway, deadline + ANSWER_TIME).await;
+    gateway.drain.enter(Phase::Exiting);
+    spdlog::info!("gateway: stopped connections={}", gateway.drain.connections());
+}
+
+/// Waits until all connections have closed, or until `deadline`.
+async fn wait_for_connections(gateway: &Gateway, deadline: Instant) {
     while gateway.drain.connections() > 0 && Instant::now() < deadline {
         sleep(CONNECTIONS_CHECK_INTERVAL).await;
     }
-    gateway.drain.enter(Phase::Exiting);
-    spdlog::info!("gateway: stopped connections={}", gateway.drain.connections());
 }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -56,6 +56,8 @@
     RetryBudget,
     /// The request is quarantined.
     Quarantined,
+    /// The gateway shuts down before the request could end.
+    Stopping,
 }
 
 impl Unavailable {
@@ -66,6 +68,7 @@
             Unavailable::NoEndpoint => "no_endpoint",
             Unavailable::RetryBudget => "budget",
             Unavailable::Quarantined => "quarantine",
+            Unavailable::Stopping => "stopping",
         }
     }
 }
@@ -125,6 +128,9 @@
             Err(selection) => return selection,
         }
     };
+    if !ends_in_time(gateway, context) {
+        return Selection::Unavailable(Unavailable::Stopping);
+    }
     let Some(grant) = budget::admit(gateway, context, retry_state) else {
         return Selection::Unavailable(Unavailable::RetryBudget);
     };
@@ -132,6 +138,14 @@
     Selection::Endpoint(Selected { handle, permit, grant })
 }
 
+/// Returns whether a request that is sent now ends before this gateway exits, if it shuts down:
+/// by its deadline, or by the time that requests of its route take.
+pub(crate) fn ends_in_time(gateway: &Gateway, context: &RequestContext) -> bool {
+    let now = gateway.now();
+    let expected_ms = gateway.work_times.borrow().expected_ms(context.route());
+    gateway.drain.allows(expected_ms.min(context.remaining_ms(now)), now)
+}
+
 /// Returns the time until the first endpoint of the request's service accepts requests again,
 /// in milliseconds; 0 if one accepts them now.
 pub(crate) fn wait_ms(gateway: &Gateway, context: &RequestContext) -> u64 {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod stream_origins;
 pub mod unreported;
 pub mod version_follower;
+pub mod work_times;
 
 pub use crate::{
     build_id::BuildId,
