Tell a gateway that joins which requests and parts are refused

Cause: crashes are told with the heartbeats of 3 s and count for 120 s; a gateway that starts later knows nothing.

Now a gateway that hears another one join or become ready tells it what it refuses and for how long (a message of protocol version 5): the verdict, since one that starts cannot weigh evidence yet.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -48,6 +48,14 @@
 struct Suspect<C> {
     crashes: Vec<C>,
     last_crash: Millis,
+    /// Until when another process has said that it refuses the request.
+    refused_until: Millis,
+}
+
+impl<C> Suspect<C> {
+    fn new(now: Millis) -> Suspect<C> {
+        Suspect { crashes: Vec::new(), last_crash: now, refused_until: Millis::default() }
+    }
 }
 
 /// The suspects known to one process; `C` identifies a crash.
@@ -76,10 +84,7 @@
     /// added if it is on record already or the request has reached the limit.
     pub fn record_crash(&mut self, fingerprint: u64, crash: C, now: Millis) -> bool {
         self.evict_if_full(now);
-        let suspect = self
-            .suspects
-            .entry(fingerprint)
-            .or_insert_with(|| Suspect { crashes: Vec::new(), last_crash: now });
+        let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect::new(now));
         if suspect.crashes.contains(&crash) {
             return false;
         }
@@ -97,7 +102,9 @@
             return QuarantineStatus::Clean;
         };
         let age = now.since(suspect.last_crash);
-        if age >= self.retention_ms {
+        if now < suspect.refused_until {
+            QuarantineStatus::Refused(suspect.refused_until.since(now))
+        } else if age >= self.retention_ms {
             QuarantineStatus::Clean
         } else if suspect.crashes.len() >= CRASH_LIMIT {
             QuarantineStatus::Refused(self.retention_ms - age)
@@ -111,6 +118,24 @@
         matches!(self.status(fingerprint, now), QuarantineStatus::Refused(_))
     }
 
+    /// Returns the requests that are refused, each with the time until its quarantine ends, in
+    /// milliseconds.
+    pub fn refusals(&self, now: Millis) -> Vec<(u64, u64)> {
+        let refused = |&key: &u64| match self.status(key, now) {
+            QuarantineStatus::Refused(retry_ms) => Some((key, retry_ms)),
+            QuarantineStatus::Clean | QuarantineStatus::Suspect => None,
+        };
+        self.suspects.keys().filter_map(refused).collect()
+    }
+
+    /// Refuses a request for `retry_ms` because another process does.
+    pub fn learn_refusal(&mut self, fingerprint: u64, retry_ms: u64, now: Millis) {
+        self.evict_if_full(now);
+        let until = now + retry_ms.min(self.retention_ms);
+        let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect::new(now));
+        suspect.refused_until = suspect.refused_until.max(until);
+    }
+
     /// Removes a request from the suspects after it has completed.
     pub fn clear_suspect(&mut self, fingerprint: u64) {
         self.suspects.remove(&fingerprint);
--- a/crates/core/tests/state_machines.rs
+++ b/crates/core/tests/state_machines.rs
@@ -233,6 +233,18 @@
     assert!(!quarantine.is_refused(7, Millis(0)));
 }
 
+#[test]
+fn refusal_of_another_process_holds_until_it_ends_or_the_request_completes() {
+    let mut quarantine: Quarantine = Quarantine::default();
+    quarantine.learn_refusal(1, 5_000, Millis(1_000));
+    quarantine.learn_refusal(2, 5_000, Millis(1_000));
+    assert_eq!(quarantine.status(1, Millis(2_000)), QuarantineStatus::Refused(4_000));
+    assert_eq!(quarantine.refusals(Millis(2_000)).len(), 2);
+    assert!(!quarantine.is_refused(1, Millis(6_000)));
+    quarantine.clear_suspect(2);
+    assert_eq!(quarantine.status(2, Millis(2_000)), QuarantineStatus::Clean);
+}
+
 #[test]
 fn repeated_crash_report_does_not_extend_its_lifetime() {
     let mut quarantine = Quarantine::with_retention(1_000);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -179,6 +179,10 @@
                 quarantine::apply_reports(&gateway, &suspects, stage, &[], gateway.now());
                 continue;
             }
+            Message::Refusals { requests, parts } => {
+                quarantine::learn_refusals(&gateway, *from.ip(), &requests, &parts);
+                continue;
+            }
             Message::Limits(samples) => {
                 permits::apply_samples(&gateway, &samples, gateway.now());
                 continue;
@@ -224,9 +228,13 @@
     drop(table);
     permits::apply_samples(gateway, &heartbeat.limits, now);
     let summary = heartbeat.summary;
-    if gateway.peers.borrow_mut().record_heartbeat(from, version, heartbeat, now) {
+    let heard = gateway.peers.borrow_mut().record_heartbeat(from, version, heartbeat, now);
+    if heard.has_become_ready {
         permits::send_limits(gateway, from);
     }
+    if heard.has_joined || heard.has_become_ready {
+        quarantine::send_refusals(gateway, from);
+    }
     gateway.apply_summary(&summary);
     origins::send_unsent(gateway);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -63,6 +63,7 @@
 mod gossip;
 mod handover;
 mod headers;
+mod heard;
 mod http_client;
 mod interruption;
 mod listener;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
     stream_origins,
 };
 
-use crate::{loads::Loads, peer::Peer, settings::Settings, status::Status};
+use crate::{heard::Heard, loads::Loads, peer::Peer, settings::Settings, status::Status};
 
 /// Time for which a crash report is sent in heartbeats, in milliseconds.
 const CRASH_GOSSIP_MS: u64 = 3_000;
@@ -281,14 +281,14 @@
         }
     }
 
-    /// Records a heartbeat; returns whether the gateway has become ready with it.
+    /// Records a heartbeat; returns what it has changed.
     pub(crate) fn record_heartbeat(
         &mut self,
         from: Ipv4Addr,
         version: Version,
         heartbeat: Heartbeat,
         now: Millis,
-    ) -> bool {
+    ) -> Heard {
         let was_alive = self.membership.is_alive(from, now);
         self.membership.record_heartbeat(from, now);
         self.membership.apply_report(&heartbeat.failure_report, from, now);
@@ -319,7 +319,7 @@
         peer.request_counts = heartbeat.request_counts;
         peer.outcomes = heartbeat.outcomes;
         self.has_stale_totals = true;
-        has_become_ready
+        Heard { has_joined: !was_alive, has_become_ready }
     }
 
     /// Starts a round of a gateway with this status; returns the recipients of a heartbeat of
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -3,9 +3,9 @@
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use mimosaledge_core::{Millis, quarantine::QuarantineStatus};
-use mimosaledge_peer::{Message, SuspectReport};
+use mimosaledge_peer::{Message, Refusal, SuspectReport};
 use mimosaledge_policy::{
-    crashing_parts::{CrashStage, CrashSuspect, MAX_RESPONDING_MS, MIN_GAP_MS},
+    crashing_parts::{CrashStage, CrashSuspect, Culprit, MAX_RESPONDING_MS, MIN_GAP_MS},
     health::Outcome,
 };
 use tokio::{task::spawn_local, time::sleep};
@@ -19,6 +19,9 @@
 /// whether its endpoint crashed.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
 
+/// Maximum number of requests and of parts that a gateway tells others it refuses.
+const MAX_REFUSALS: usize = 64;
+
 /// Checks, shortly after a connection was lost, whether its endpoint crashed: a
 /// live endpoint accepts a new connection. A gateway that has lost its links to all endpoints
 /// cannot tell, and concludes nothing.
@@ -155,6 +158,45 @@
     }
 }
 
+/// Tells a gateway that may know of no crashes what is refused.
+pub(crate) fn send_refusals(gateway: &Gateway, to: Ipv4Addr) {
+    let now = gateway.now();
+    let requests = gateway.quarantine.borrow().refusals(now).into_iter();
+    let requests = requests.map(|(key, retry_ms)| Refusal { key, retry_ms });
+    let requests: Vec<Refusal> = requests.take(MAX_REFUSALS).collect();
+    let parts = gateway.crashing_parts.borrow().refusals(now).into_iter();
+    let parts = parts.map(|it| Refusal { key: it.part, retry_ms: it.retry_ms });
+    let parts: Vec<Refusal> = parts.take(MAX_REFUSALS).collect();
+    if requests.is_empty() && parts.is_empty() {
+        return;
+    }
+    let to = gateway.peers.borrow().knowing_copies(&[to]);
+    datagrams::send_now(gateway, Message::Refusals { requests, parts }, &to);
+}
+
+/// Refuses what another gateway refuses.
+pub(crate) fn learn_refusals(
+    gateway: &Gateway,
+    from: Ipv4Addr,
+    requests: &[Refusal],
+    parts: &[Refusal],
+) {
+    let now = gateway.now();
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    for Refusal { key, retry_ms } in requests {
+        quarantine.learn_refusal(*key, *retry_ms, now);
+    }
+    let mut crashing_parts = gateway.crashing_parts.borrow_mut();
+    for Refusal { key, retry_ms } in parts {
+        crashing_parts.learn_refusal(Culprit { part: *key, retry_ms: *retry_ms }, now);
+    }
+    spdlog::info!(
+        "quarantine: address={from} learned_requests={} learned_parts={}",
+        requests.len(),
+        parts.len()
+    );
+}
+
 /// Applies what another gateway has reported.
 pub(crate) fn apply_reports(
     gateway: &Gateway,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -50,7 +50,7 @@
     message::{Message, PermitRequest},
     outcomes::Outcomes,
     rejections::Rejections,
-    reports::{CrashReport, SuspectReport},
+    reports::{CrashReport, Refusal, SuspectReport},
     request_count::RequestCount,
     state_summary::StateSummary,
     sync::{ListUpdate, SyncRequest, SyncResponse},
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -7,8 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    change_batch::ChangeBatch, endpoint_limits::LimitSample, heartbeat::Heartbeat,
-    reports::SuspectReport, state_summary::StateSummary, version::Version,
+    change_batch::ChangeBatch,
+    endpoint_limits::LimitSample,
+    heartbeat::Heartbeat,
+    reports::{Refusal, SuspectReport},
+    state_summary::StateSummary,
+    version::Version,
 };
 
 /// A datagram between gateways.
@@ -55,6 +59,13 @@
     /// Sent by a gateway at which requests waited for the head of a response from an endpoint
     /// that has crashed, and again with its next heartbeats.
     WaitingSuspects(Vec<SuspectReport>),
+    /// Sent to a gateway that has joined or become ready.
+    Refusals {
+        /// Requests that the sender refuses.
+        requests: Vec<Refusal>,
+        /// Parts of prompts that the sender refuses.
+        parts: Vec<Refusal>,
+    },
 }
 
 impl Message {
@@ -71,7 +82,9 @@
             | Message::PermitResponse { .. }
             | Message::PermitRelease { .. } => Version::BEFORE_FOOTER,
             Message::OriginUnknown(_) => Version::ORIGIN_DENIALS,
-            Message::StreamOrigins(_) | Message::WaitingSuspects(_) => Version::ORIGIN_COPIES,
+            Message::StreamOrigins(_) | Message::WaitingSuspects(_) | Message::Refusals { .. } => {
+                Version::ORIGIN_COPIES
+            }
         }
     }
 }
--- a/crates/peer/src/reports.rs
+++ b/crates/peer/src/reports.rs
@@ -20,3 +20,12 @@
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
 }
+
+/// A request or a part of prompts that a gateway refuses since it crashes endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Fingerprint of the request, or identifier of the part.
+    pub key: u64,
+    /// Time for which it is still refused, in milliseconds.
+    pub retry_ms: u64,
+}
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -8,10 +8,12 @@
 
 use mimosaledge_core::{Millis, hash::hash32};
 use mimosaledge_peer::{
-    Datagram, Error, Heartbeat, Message, Rejections, SyncRequest, SyncResponse, Version, datagram,
-    sync,
+    Datagram, Error, Heartbeat, Message, Refusal, Rejections, SuspectReport, SyncRequest,
+    SyncResponse, Version, datagram, sync,
+};
+use mimosaledge_policy::{
+    crashing_parts::CrashSuspect, membership::FailureReport, stream_origins::BuildOrigins,
 };
-use mimosaledge_policy::{membership::FailureReport, stream_origins::BuildOrigins};
 use proptest::prelude::*;
 use recorded::{OLD_HEARTBEAT, RECORDED};
 use serde::{Serialize, de::DeserializeOwned};
@@ -116,11 +118,18 @@
 }
 
 #[test]
-fn copies_of_origins_are_sent_only_to_builds_that_know_them() {
-    let copies = Message::StreamOrigins(vec![BuildOrigins { build: 7, attempts: vec![8, 9] }]);
-    assert_eq!(datagram::encode(&copies, Version::ORIGIN_DENIALS).unwrap(), None);
-    let received = datagram::decode(&encode(&copies, Version::CURRENT), None).unwrap();
-    assert_eq!(received.message, copies);
+fn messages_of_version_5_are_sent_only_to_builds_that_know_them() {
+    let suspect = CrashSuspect { part: 1, depth: 2, crash: 3 };
+    let refusal = Refusal { key: 4, retry_ms: 5 };
+    for message in [
+        Message::StreamOrigins(vec![BuildOrigins { build: 7, attempts: vec![8, 9] }]),
+        Message::WaitingSuspects(vec![SuspectReport { suspect, age_ms: 6 }]),
+        Message::Refusals { requests: vec![refusal], parts: vec![refusal] },
+    ] {
+        assert_eq!(datagram::encode(&message, Version::ORIGIN_DENIALS).unwrap(), None);
+        let received = datagram::decode(&encode(&message, Version::CURRENT), None).unwrap();
+        assert_eq!(received.message, message);
+    }
 }
 
 #[test]
--- a/crates/policy/src/crashing_parts.rs
+++ b/crates/policy/src/crashing_parts.rs
@@ -183,6 +183,8 @@
     suspects: HashMap<u64, Suspect>,
     /// The culprits, with the time until which each is refused.
     culprits: HashMap<u64, Millis>,
+    /// Parts that other gateways have said they refuse, with the time until which each is.
+    learned: HashMap<u64, Millis>,
     sound: SoundParts,
     /// Number of requests that have completed here.
     completions: u64,
@@ -215,6 +217,7 @@
         self.completions += u64::from(!parts.is_empty());
         for part in parts {
             self.sound.insert(*part, now);
+            self.learned.remove(part);
             let Some(suspect) = self.suspects.get_mut(part) else { continue };
             if suspect.crashes.iter().any(|it| it.counts) {
                 suspect.crashes.iter_mut().for_each(|it| it.counts = false);
@@ -230,11 +233,33 @@
     /// Returns the first of `parts` that is refused.
     pub fn find_refused(&self, parts: &[u64], now: Millis) -> Option<Culprit> {
         parts.iter().find_map(|part| {
-            let until = self.culprits.get(part)?;
+            let until = self.culprits.get(part).max(self.learned.get(part))?;
             (now < *until).then(|| Culprit { part: *part, retry_ms: until.since(now) })
         })
     }
 
+    /// Returns the parts that are refused.
+    pub fn refusals(&self, now: Millis) -> Vec<Culprit> {
+        let parts: HashSet<u64> =
+            self.culprits.keys().chain(self.learned.keys()).copied().collect();
+        parts.iter().filter_map(|it| self.find_refused(&[*it], now)).collect()
+    }
+
+    /// Refuses a part for `retry_ms` because another gateway does, unless it has completed here
+    /// lately.
+    pub fn learn_refusal(&mut self, culprit: Culprit, now: Millis) {
+        if self.sound.contains_since(culprit.part, now, RECENT_MS) {
+            return;
+        }
+        self.learned.retain(|_, until| now < *until);
+        if self.learned.len() >= MAX_SUSPECTS {
+            return;
+        }
+        let until = now + culprit.retry_ms.min(QUARANTINE_MS << MAX_DOUBLINGS);
+        let learned = self.learned.entry(culprit.part).or_default();
+        *learned = until.max(*learned);
+    }
+
     /// Selects the culprits among the suspects anew.
     ///
     /// A part that has never completed precedes one that has, then the one with more
--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -2,7 +2,7 @@
 
 use mimosaledge_core::Millis;
 use mimosaledge_policy::crashing_parts::{
-    CRASH_LIMIT, CrashStage, CrashSuspect, CrashingParts, WAITING_CRASH_LIMIT,
+    CRASH_LIMIT, CrashStage, CrashSuspect, CrashingParts, Culprit, WAITING_CRASH_LIMIT,
 };
 
 const NOW: Millis = Millis(1_000_000);
@@ -172,6 +172,29 @@
     assert!(is_refused(&parts, CRASHING, much_later));
 }
 
+// Guards against a gateway that starts and sends what all others refuse (BUDGET).
+cases! {
+    part_that_others_refuse_is_refused_until_it_completes => learned_case();
+    part_that_others_refuse_is_served_if_it_has_just_completed => learned_sound_case();
+}
+
+fn learned_case() {
+    let mut parts = CrashingParts::default();
+    parts.learn_refusal(Culprit { part: CRASHING, retry_ms: 9_000 }, NOW);
+    parts.learn_refusal(Culprit { part: CRASHING, retry_ms: 5_000 }, NOW);
+    assert_eq!(parts.refusals(NOW), [Culprit { part: CRASHING, retry_ms: 9_000 }]);
+    assert!(!is_refused(&parts, CRASHING, NOW + 9_000));
+    parts.record_completion(&[CRASHING], NOW + 1_000);
+    assert!(!is_refused(&parts, CRASHING, NOW + 1_000));
+}
+
+fn learned_sound_case() {
+    let mut parts = CrashingParts::default();
+    parts.record_completion(&[CRASHING], NOW);
+    parts.learn_refusal(Culprit { part: CRASHING, retry_ms: 9_000 }, NOW + 5_000);
+    assert!(!is_refused(&parts, CRASHING, NOW + 5_000));
+}
+
 /// Completes requests with other parts.
 fn complete_others(parts: &mut CrashingParts) {
     for number in 0..4 {
