Do not take crashed endpoints for lost links

Cause: a gateway takes itself for cut off if three other endpoints, picked at random, do not accept; with half of them crashed that happens in one of eight cases, and more often the more endpoints a culprit has crashed. Not the load of the machine. Now up to 24 more are tried first.

Failed before: crash_counts_while_most_endpoints_are_down (six fleets with one other endpoint alive).

--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -14,6 +14,9 @@
 
 /// Number of endpoints that are tried first.
 const SAMPLE_SIZE: usize = 3;
+/// Maximum number of further endpoints that are tried before a gateway concludes that it has lost
+/// its links, rather than that the endpoints of the sample are down.
+const MAX_FURTHER: usize = 24;
 /// Minimum interval between two checks, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 1_000;
 
@@ -111,9 +114,17 @@
     if others.is_empty() {
         others = shuffled(gateway, is_other);
     }
-    others.truncate(SAMPLE_SIZE);
-    let results = join_all(others.iter().map(|it| it.pool.try_connect())).await;
-    !results.is_empty() && results.iter().all(|is_reached| !is_reached)
+    if others.is_empty() {
+        return false;
+    }
+    let mut further = others.split_off(SAMPLE_SIZE.min(others.len()));
+    further.truncate(MAX_FURTHER);
+    !any_accepts(&others).await && !any_accepts(&further).await
+}
+
+async fn any_accepts(handles: &[Rc<EndpointHandle>]) -> bool {
+    let results = join_all(handles.iter().map(|it| it.pool.try_connect())).await;
+    results.contains(&true)
 }
 
 /// Returns the endpoints that fulfil a condition, in an order that differs each time.
