Split the suspects of crashes and what is told of them into modules of their own

crashing_parts.rs held seven types, peers.rs the gossip of crashes beside the membership, relay.rs (402 lines) what may continue a stream.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -15,7 +15,7 @@
 use crate::{
     attempt::{Attempt, AttemptError, OpenResponse, log_failure, log_silence},
     body_buffer::{self, BodyError},
-    budget,
+    budget, continuation,
     error_response::{Code, ErrorResponse},
     forward::{self, ForwardError},
     framing::Framing,
@@ -102,7 +102,7 @@
         };
         let error = match opened {
             Ok(open) if context.route().streaming && open.head.status.is_success() => {
-                if relay::is_asked_for(&context, &open) {
+                if continuation::may_answer(&context, &open) {
                     return Ok(relay::start(gateway, context, open, retry_state));
                 }
                 let (error, cause) = (AttemptError::Unknown, "no continuation of the stream");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,8 @@
 mod build_records;
 mod claims;
 mod clock;
+mod continuation;
+mod crash_news;
 mod cursor;
 mod datagrams;
 mod dialect;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,24 +3,21 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use mimosaledge_core::{Millis, hash::hash64};
-use mimosaledge_peer::{CrashReport, Heartbeat, StateSummary, SuspectReport, Version};
+use mimosaledge_peer::{CrashReport, Heartbeat, StateSummary, Version};
 use mimosaledge_policy::{
     EndpointGroup,
-    crashing_parts::{CrashStage, CrashSuspect},
     membership::{FailureReport, Membership, ring_position},
     stream_origins,
 };
 
-use crate::{heard::Heard, loads::Loads, peer::Peer, settings::Settings, status::Status};
+use crate::{
+    crash_news::CrashNews, heard::Heard, loads::Loads, peer::Peer, settings::Settings,
+    status::Status,
+};
 
-/// Time for which a crash report is sent in heartbeats, in milliseconds.
-const CRASH_GOSSIP_MS: u64 = 3_000;
 /// Interval after which a gateway prefers another peer to sync from, in
 /// milliseconds.
 const SOURCE_ROTATION_MS: u64 = 1_000;
-/// Maximum number of crash reports, suspects and sound parts each in one heartbeat.
-const MAX_CRASHES: usize = 24;
-
 /// The other gateways.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -29,12 +26,8 @@
     list_readers: usize,
     membership: Membership,
     peers: HashMap<Ipv4Addr, Peer>,
-    /// Crash reports to send, with the time at which each was added.
-    crashes: Vec<(CrashReport, Millis)>,
-    /// Suspects of crashes to send, with the time of the crash.
-    suspects: Vec<(CrashSuspect, CrashStage, Millis)>,
-    /// Parts to send that are suspects no longer, with the time at which each was cleared.
-    sound_parts: Vec<(u64, Millis)>,
+    /// What the next heartbeats tell of crashes.
+    pub(crate) crash_news: CrashNews,
     /// Whether the next round must reach all peers, also in a large fleet.
     is_urgent: bool,
     /// Status of this gateway in the last round.
@@ -53,9 +46,7 @@
             list_readers: settings.policy.list_readers,
             membership: Membership::new(settings.address, settings.policy.mesh_peers),
             peers: HashMap::new(),
-            crashes: Vec::new(),
-            suspects: Vec::new(),
-            sound_parts: Vec::new(),
+            crash_news: CrashNews::default(),
             is_urgent: false,
             last_status: Status::default(),
             has_stale_totals: false,
@@ -236,39 +227,11 @@
 
     /// Adds a request that was in flight at an endpoint when it crashed to the
     /// next heartbeats.
-    pub(crate) fn report_crash(&mut self, fingerprint: u64, endpoint: u64, now: Millis) {
-        self.crashes.push((CrashReport { fingerprint, endpoint }, now));
+    pub(crate) fn report_crash(&mut self, crash: CrashReport, now: Millis) {
+        self.crash_news.add_crash(crash, now);
         self.is_urgent = true;
     }
 
-    /// Returns the crash reports to send, the latest first.
-    pub(crate) fn crash_reports(&self) -> Vec<CrashReport> {
-        self.crashes.iter().rev().take(MAX_CRASHES).map(|(crash, _)| *crash).collect()
-    }
-
-    /// Adds a suspect of a crash at the time `at` to the next heartbeats.
-    pub(crate) fn report_suspect(&mut self, suspect: CrashSuspect, stage: CrashStage, at: Millis) {
-        self.suspects.push((suspect, stage, at));
-    }
-
-    /// Returns the suspects of crashes at a stage to send, the latest first.
-    pub(crate) fn suspect_reports(&self, stage: CrashStage, now: Millis) -> Vec<SuspectReport> {
-        let latest = self.suspects.iter().rev().filter(|it| it.1 == stage).take(MAX_CRASHES);
-        latest
-            .map(|(suspect, _, at)| SuspectReport { suspect: *suspect, age_ms: now.since(*at) })
-            .collect()
-    }
-
-    /// Adds parts that are suspects no longer to the next heartbeats.
-    pub(crate) fn report_sound(&mut self, parts: Vec<u64>, now: Millis) {
-        self.sound_parts.extend(parts.into_iter().map(|it| (it, now)));
-    }
-
-    /// Returns the parts to send that are suspects no longer, the latest first.
-    pub(crate) fn sound_parts(&self) -> Vec<u64> {
-        self.sound_parts.iter().rev().take(MAX_CRASHES).map(|(part, _)| *part).collect()
-    }
-
     /// Returns the report of suspected and failed gateways to send.
     pub(crate) fn failure_report(&self, now: Millis) -> FailureReport {
         self.membership.failure_report(now)
@@ -331,9 +294,7 @@
         bytes: usize,
         now: Millis,
     ) -> Vec<Ipv4Addr> {
-        self.crashes.retain(|(_, at)| now.since(*at) < CRASH_GOSSIP_MS);
-        self.suspects.retain(|(_, _, at)| now.since(*at) < CRASH_GOSSIP_MS);
-        self.sound_parts.retain(|(_, at)| now.since(*at) < CRASH_GOSSIP_MS);
+        self.crash_news.remove_old(now);
         for address in self.membership.remove_silent(now) {
             self.peers.remove(&address);
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -3,7 +3,7 @@
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use mimosaledge_core::{Millis, quarantine::QuarantineStatus};
-use mimosaledge_peer::{Message, Refusal, SuspectReport};
+use mimosaledge_peer::{CrashReport, Message, Refusal, SuspectReport};
 use mimosaledge_policy::{
     crashing_parts::{CrashStage, CrashSuspect, Culprit, MAX_RESPONDING_MS, MIN_GAP_MS},
     health::Outcome,
@@ -103,7 +103,8 @@
     let (fingerprint, now) = (context.fingerprint, gateway.now());
     if gateway.quarantine.borrow_mut().record_crash(fingerprint, handle.node(), now) {
         spdlog::info!("crasher: fingerprint={fingerprint:016x} endpoint={}", handle.id());
-        gateway.peers.borrow_mut().report_crash(fingerprint, handle.node(), now);
+        let crash = CrashReport { fingerprint, endpoint: handle.node() };
+        gateway.peers.borrow_mut().report_crash(crash, now);
     }
 }
 
@@ -122,7 +123,7 @@
         let depth = u8::try_from(depth).unwrap_or(u8::MAX);
         let suspect = CrashSuspect { part: *part, depth, crash: handle.node() };
         if gateway.crashing_parts.borrow_mut().record_crash(suspect, stage, at) {
-            gateway.peers.borrow_mut().report_suspect(suspect, stage, at);
+            gateway.peers.borrow_mut().crash_news.add_suspect(suspect, stage, at);
             reports.push(SuspectReport { suspect, age_ms: now.since(at) });
         }
     }
@@ -152,7 +153,8 @@
 
 /// Repeats the reports of waiting suspects with a heartbeat, since datagrams may be lost.
 pub(crate) fn repeat_reports(gateway: &Gateway, recipients: &[Ipv4Addr]) {
-    let reports = gateway.peers.borrow().suspect_reports(CrashStage::Waiting, gateway.now());
+    let now = gateway.now();
+    let reports = gateway.peers.borrow().crash_news.suspects(CrashStage::Waiting, now);
     if !reports.is_empty() {
         send_reports(gateway, CrashStage::Waiting, reports, recipients);
     }
@@ -229,7 +231,7 @@
     let now = gateway.now();
     let cleared = gateway.crashing_parts.borrow_mut().record_completion(&context.shared_parts, now);
     if !cleared.is_empty() {
-        gateway.peers.borrow_mut().report_sound(cleared, now);
+        gateway.peers.borrow_mut().crash_news.add_sound_parts(cleared, now);
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use futures_util::stream::unfold;
 use http_body_util::StreamBody;
 use hyper::{
-    HeaderMap, Response,
+    Response,
     body::Frame,
     header::{CONTENT_TYPE, HeaderValue},
 };
@@ -22,6 +22,7 @@
 use crate::{
     arrival::Arrival,
     attempt::{self, Attempt, AttemptError, OpenResponse},
+    continuation,
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     interruption::Interruption,
@@ -35,8 +36,6 @@
     upstream::Upstream,
 };
 
-/// Media type of event streams.
-const EVENT_STREAM: &str = "text/event-stream";
 /// Minimum time without data after which the endpoint of a resumable stream counts as
 /// silent, in milliseconds.
 const MIN_GAP_TIMEOUT_MS: u64 = 1_000;
@@ -64,21 +63,6 @@
     finished: bool,
 }
 
-/// Returns whether a response may be the stream that a request asks for: one that resumes a
-/// stream gets events, and nothing that reads like them.
-pub(crate) fn is_asked_for(context: &RequestContext, open: &OpenResponse) -> bool {
-    let is_resume =
-        context.route().retry == RetryPolicy::Resume && context.metadata.last_event.is_some();
-    !is_resume || has_events(&open.head.headers)
-}
-
-/// Returns whether the type of the content is that of event streams.
-fn has_events(headers: &HeaderMap) -> bool {
-    let content_type = headers.get(CONTENT_TYPE).and_then(|it| it.to_str().ok());
-    let media_type = content_type.and_then(|it| it.split(';').next()).unwrap_or_default();
-    media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
-}
-
 /// Returns a response that forwards the stream that `open` begins.
 pub(crate) fn start(
     gateway: &Rc<Gateway>,
@@ -267,7 +251,7 @@
             let remaining_ms = self.context.remaining_ms(self.gateway.now());
             let opened = timeout(Duration::from_millis(remaining_ms), attempt.response).await;
             match opened {
-                Ok(Ok(open)) if self.is_continuation(&open) => {
+                Ok(Ok(open)) if continuation::may_follow(&open, self.content_type.as_ref()) => {
                     self.gateway.metrics.resumes.inc();
                     spdlog::info!(
                         "resume: id={} endpoint={} build={} after_event={last_id:?} cause={:?}",
@@ -301,12 +285,6 @@
         }
     }
 
-    /// Returns whether a response may continue the stream, rather than tell of an error.
-    fn is_continuation(&self, open: &OpenResponse) -> bool {
-        let content_type = open.head.headers.get(CONTENT_TYPE);
-        open.head.status.is_success() && content_type == self.content_type.as_ref()
-    }
-
     /// Returns whether an endpoint may still be found to resume the stream.
     fn may_search_again(&self) -> bool {
         !self.retry_state.is_used_up(self.context.route())
--- a/crates/policy/src/crashing_parts.rs
+++ b/crates/policy/src/crashing_parts.rs
@@ -16,16 +16,20 @@
 use std::collections::{HashMap, HashSet};
 
 use mimosaledge_core::Millis;
-use serde::{Deserialize, Serialize};
 
-use crate::sound_parts::SoundParts;
+use crate::{
+    crash::Crash,
+    crash_evidence::{Evidence, MAX_DOUBLINGS},
+    crash_stage::WEIGHT_LIMIT,
+    sound_parts::SoundParts,
+    suspect::Suspect,
+};
+pub use crate::{
+    crash_evidence::MIN_GAP_MS,
+    crash_stage::{CRASH_LIMIT, CrashStage, WAITING_CRASH_LIMIT},
+    crash_suspect::CrashSuspect,
+};
 
-/// Number of crashes that make a part a culprit, of engines that had begun to respond.
-pub const CRASH_LIMIT: usize = 3;
-/// The same of engines at which the request was waiting.
-pub const WAITING_CRASH_LIMIT: usize = 5;
-/// Weight of the crashes that make a part a culprit, so that both kinds add up.
-const WEIGHT_LIMIT: usize = CRASH_LIMIT * WAITING_CRASH_LIMIT;
 /// Number of requests without a part that must have completed since its first crash, for the
 /// part to be a culprit by crashes at which it was waiting.
 const MIN_OTHERS: u64 = 4;
@@ -35,16 +39,11 @@
 /// Time for which the response may have lasted at the time of the crash, in milliseconds; a
 /// response that lasts longer shows that its parts are sound.
 pub const MAX_RESPONDING_MS: u64 = 500;
-/// Crashes that follow each other by less count once, in milliseconds, since engines that
-/// crash together have a common cause.
-pub const MIN_GAP_MS: u64 = 100;
 /// Time for which a culprit is refused after its last crash, in milliseconds; each crash
 /// beyond the limit doubles it.
 const QUARANTINE_MS: u64 = 120_000;
 /// The same time for a culprit by crashes at which it was waiting, in milliseconds.
 const WAITING_QUARANTINE_MS: u64 = 30_000;
-/// Maximum number of times that it is doubled.
-const MAX_DOUBLINGS: usize = 5;
 /// The same time for a part that has completed before, in milliseconds: crashes of another
 /// cause may have met a part that nearly all requests share.
 const SOUND_QUARANTINE_MS: u64 = 5_000;
@@ -52,38 +51,6 @@
 const RETENTION_MS: u64 = 2 * 3_600_000;
 /// Maximum number of suspects; the one with the oldest last crash is evicted first.
 const MAX_SUSPECTS: usize = 4_096;
-/// Maximum number of crashes that are kept for one suspect, the latest.
-const MAX_CRASHES: usize = 64;
-
-/// How far an engine was with a request when it crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum CrashStage {
-    /// The head of the response was not received; the engine may not have begun.
-    Waiting,
-    /// The engine had just begun to respond.
-    Responding,
-}
-
-impl CrashStage {
-    fn weight(self) -> usize {
-        match self {
-            CrashStage::Waiting => WEIGHT_LIMIT / WAITING_CRASH_LIMIT,
-            CrashStage::Responding => WEIGHT_LIMIT / CRASH_LIMIT,
-        }
-    }
-}
-
-/// A part of a request that was in flight at an engine when it crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashSuspect {
-    /// Identifier of the part.
-    pub part: u64,
-    /// Number of parts before it in the prompt.
-    pub depth: u8,
-    /// Node number of the endpoint's incarnation, which identifies the crash.
-    pub crash: u64,
-}
-
 /// A culprit that a prompt contains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Culprit {
@@ -93,90 +60,6 @@
     pub retry_ms: u64,
 }
 
-#[derive(Debug)]
-struct Crash {
-    id: u64,
-    at: Millis,
-    stage: CrashStage,
-    /// Number of requests that had completed here before it was recorded.
-    completions: u64,
-    /// Whether the part has not completed since.
-    counts: bool,
-}
-
-/// What the crashes of a suspect say.
-#[derive(Debug, Clone, Copy, Default)]
-struct Evidence {
-    weight: usize,
-    /// Weight of the crashes of engines that had begun to respond.
-    responding: usize,
-    /// Number of requests that had completed before the first of the crashes.
-    completions: u64,
-}
-
-impl Evidence {
-    /// Returns how often the quarantine is doubled.
-    fn doublings(&self) -> usize {
-        let beyond = self.weight - WEIGHT_LIMIT;
-        (beyond / CrashStage::Responding.weight()).min(MAX_DOUBLINGS)
-    }
-
-    /// Returns whether the crashes of engines that had begun to respond are enough.
-    fn is_direct(&self) -> bool {
-        self.responding >= WEIGHT_LIMIT
-    }
-}
-
-#[derive(Debug)]
-struct Suspect {
-    depth: u8,
-    /// Its crashes, oldest first.
-    crashes: Vec<Crash>,
-}
-
-impl Suspect {
-    fn last_crash(&self) -> Millis {
-        self.crashes.last().map_or(Millis::default(), |it| it.at)
-    }
-
-    /// Weighs the crashes that count and are not among `explained`; of those that follow each
-    /// other closely, the first.
-    fn weigh(&self, explained: &HashSet<u64>) -> Evidence {
-        let mut evidence = Evidence::default();
-        let mut last_counted: Option<Millis> = None;
-        for crash in self.crashes.iter().filter(|it| it.counts && !explained.contains(&it.id)) {
-            if last_counted.is_some_and(|at| crash.at.since(at) < MIN_GAP_MS) {
-                continue;
-            }
-            if last_counted.is_none() {
-                evidence.completions = crash.completions;
-            }
-            last_counted = Some(crash.at);
-            evidence.weight += crash.stage.weight();
-            if crash.stage == CrashStage::Responding {
-                evidence.responding += crash.stage.weight();
-            }
-        }
-        evidence
-    }
-
-    /// Adds a crash, or learns that its engine had begun to respond; returns whether that was
-    /// not known.
-    fn record(&mut self, crash: Crash) -> bool {
-        if let Some(known) = self.crashes.iter_mut().find(|it| it.id == crash.id) {
-            let is_news = known.stage < crash.stage;
-            known.stage = known.stage.max(crash.stage);
-            return is_news;
-        }
-        if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-        let index = self.crashes.partition_point(|it| it.at <= crash.at);
-        self.crashes.insert(index, crash);
-        true
-    }
-}
-
 /// The parts that were in prompts during crashes.
 #[derive(Debug, Default)]
 pub struct CrashingParts {
@@ -202,9 +85,9 @@
         }
         self.evict_if_full(at);
         let crash = Crash { id: crash, at, stage, completions: self.completions, counts: true };
-        let entry = self.suspects.entry(part).or_insert(Suspect { depth, crashes: Vec::new() });
+        let entry = self.suspects.entry(part).or_insert_with(|| Suspect::new(depth));
         let is_news = entry.record(crash);
-        if is_news && entry.crashes.len() >= CRASH_LIMIT {
+        if is_news && entry.count() >= CRASH_LIMIT {
             self.find_culprits();
         }
         is_news
@@ -219,8 +102,7 @@
             self.sound.insert(*part, now);
             self.learned.remove(part);
             let Some(suspect) = self.suspects.get_mut(part) else { continue };
-            if suspect.crashes.iter().any(|it| it.counts) {
-                suspect.crashes.iter_mut().for_each(|it| it.counts = false);
+            if suspect.clear() {
                 cleared.push(*part);
             }
         }
@@ -275,7 +157,7 @@
                 (false, true) => QUARANTINE_MS << evidence.doublings(),
                 (false, false) => WAITING_QUARANTINE_MS << evidence.doublings(),
             };
-            explained.extend(suspect.crashes.iter().map(|it| it.id));
+            explained.extend(suspect.crash_ids());
             self.culprits.insert(part, suspect.last_crash() + quarantine_ms);
         }
     }
@@ -284,7 +166,7 @@
     fn find_strongest(&mut self, explained: &HashSet<u64>) -> Option<(u64, Evidence)> {
         let mut strongest = None;
         for (part, suspect) in &self.suspects {
-            if suspect.crashes.len() < CRASH_LIMIT || self.culprits.contains_key(part) {
+            if suspect.count() < CRASH_LIMIT || self.culprits.contains_key(part) {
                 continue;
             }
             let evidence = suspect.weigh(explained);
