Count arrivals since a report only as far as they are still in flight

Callers would see, at 295 gateways: a third of all requests refused in calm.

The reported loads were aged, the arrivals were not.

Failed before: arrivals_that_have_ended_since_the_report_take_no_room (3,646 taken for in flight where there is room for 2,442).

--- a/crates/policy/src/unreported.rs
+++ b/crates/policy/src/unreported.rs
@@ -9,7 +9,7 @@
 /// flight.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Unreported {
-    /// Requests that have arrived at all gateways.
+    /// Requests that have arrived at all gateways and are still in flight.
     pub arrived: f64,
     /// Share of the reported requests that are still in flight, from 0 to 1.
     pub remaining_share: f64,
@@ -24,7 +24,8 @@
         age_ms: u64,
         remaining_share: f64,
     ) -> Unreported {
-        Unreported { arrived: own_per_ms * peers as f64 * age_ms as f64, remaining_share }
+        let lasting_ms = age_ms as f64 * mean_remaining(remaining_share);
+        Unreported { arrived: own_per_ms * peers as f64 * lasting_ms, remaining_share }
     }
 
     /// Returns what concerns `count` of `total` engines, for a request that only these can run.
@@ -43,3 +44,10 @@
         if self.arrived <= room { 1.0 } else { room / self.arrived }
     }
 }
+
+/// Returns the share that is still in flight of requests that have arrived evenly since the
+/// report, if of those before it `remaining_share` are: its mean over the time since.
+fn mean_remaining(remaining_share: f64) -> f64 {
+    let decay = -remaining_share.max(f64::MIN_POSITIVE).ln();
+    if decay < f64::EPSILON { 1.0 } else { (1.0 - remaining_share) / decay }
+}
--- a/crates/policy/tests/load.rs
+++ b/crates/policy/tests/load.rs
@@ -57,3 +57,16 @@
     assert_eq!(unreported.at_some_of(1, 60).admitted_share(room), 1.0);
     assert_eq!(unreported.at_some_of(60, 60), unreported);
 }
+
+// Guards against a large fleet that rejects a third of its requests in calm: all that had arrived
+// since the reports counted, also those that had long ended.
+#[test]
+fn arrivals_that_have_ended_since_the_report_take_no_room() {
+    let mut duration = MeanDuration::default();
+    duration.record(400);
+    let unreported = Unreported::estimate(0.0062, 294, 2_000, duration.remaining_share(2_000));
+    assert!((unreported.arrived - 0.0062 * 294.0 * 400.0).abs() < 10.0, "{unreported:?}");
+    // 204 engines, each with 4 of 12 requests.
+    let room = 204.0 * unreported.room(4.0, 12.0);
+    assert_eq!(unreported.admitted_share(room), 1.0);
+}
