--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,17 +18,18 @@
 //! | `silence` | gives up a silent endpoint only for another one |
 //! | `permits`, `permit`, `permit_table`, `claims` | keep the limits of endpoints with the other gateways |
 //! | `endpoint_limits` | the limits that an endpoint has named |
-//! | `quarantine` | finds out what crashes endpoints, and refuses it |
-//! | `relay`, `arrival` | forwards a stream and resumes it at another endpoint |
+//! | `quarantine`, `crash_news` | finds out what crashes endpoints, refuses it, and tells of it |
+//! | `relay`, `arrival`, `upstream` | forwards a stream and resumes it at another endpoint |
+//! | `continuation` | which responses may continue a stream |
 //! | `reach` | finds out that no endpoint of a service is reachable |
 //! | `forward`, `forward_table` | hand requests over to a gateway that reaches endpoints |
 //! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
 //! | `unlisted_handles` | what is known of endpoints that are not listed for a time |
-//! | `origins` | finds the build that began a stream that a client resumes |
+//! | `origins` | tells others which build began a stream, and finds it when a client resumes one |
 //! | `build_records` | records in the store which builds count, for gateways that start |
 //! | `follow_config`, `follow`, `cursor` | read the configuration and lists from the store |
-//! | `gossip`, `peers`, `peer`, `status` | exchange heartbeats with the other gateways |
+//! | `gossip`, `peers`, `peer`, `heard`, `status` | exchange heartbeats with the other gateways |
 //! | `datagrams` | sends messages to other gateways, of this build or another |
 //! | `sync` | fetches missing state from another gateway |
 //! | `gateway` | holds the state that these modules share |
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -4,7 +4,7 @@
 use std::{net::Ipv4Addr, time::Duration};
 
 use mimosaledge_core::{Name, hash::hash64};
-use mimosaledge_peer::Message;
+use mimosaledge_peer::{Message, Version};
 use mimosaledge_policy::{
     Route,
     origin_search::OriginSearch,
@@ -225,7 +225,8 @@
         return;
     }
     let peers = gateway.peers.borrow();
-    let gateways = peers.knowing_copies(&peers.urgent_recipients(gateway.now()));
+    let recipients = peers.urgent_recipients(gateway.now());
+    let gateways = peers.speaking(Version::ORIGIN_COPIES, &recipients);
     let allowance = stream_origins::copy_allowance(peers.is_large(), interval_ms);
     let copies = stream_origins::plan_copies(&begun, &gateways, HOLDERS, allowance);
     drop(peers);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -79,10 +79,10 @@
         self.membership.possibly_alive(now).collect()
     }
 
-    /// Returns those of `gateways` that understand copies of origins and waiting suspects.
-    pub(crate) fn knowing_copies(&self, gateways: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
-        let knows = |it: &Ipv4Addr| self.version_of(*it).knows_origin_copies();
-        gateways.iter().copied().filter(knows).collect()
+    /// Returns those of `gateways` that speak `version` or a later one.
+    pub(crate) fn speaking(&self, version: Version, gateways: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+        let speaks = |it: &Ipv4Addr| self.version_of(*it) >= version;
+        gateways.iter().copied().filter(speaks).collect()
     }
 
     /// Returns the `count` other gateways that remember the stream that `attempt` began.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -3,7 +3,7 @@
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use mimosaledge_core::{Millis, quarantine::QuarantineStatus};
-use mimosaledge_peer::{CrashReport, Message, Refusal, SuspectReport};
+use mimosaledge_peer::{CrashReport, Message, Refusal, SuspectReport, Version};
 use mimosaledge_policy::{
     crashing_parts::{CrashStage, CrashSuspect, Culprit, MAX_RESPONDING_MS, MIN_GAP_MS},
     health::Outcome,
@@ -145,7 +145,7 @@
             datagrams::send_now(gateway, Message::Suspects(reports), recipients);
         }
         CrashStage::Waiting => {
-            let recipients = gateway.peers.borrow().knowing_copies(recipients);
+            let recipients = gateway.peers.borrow().speaking(Version::ORIGIN_COPIES, recipients);
             datagrams::send_now(gateway, Message::WaitingSuspects(reports), &recipients);
         }
     }
@@ -172,7 +172,7 @@
     if requests.is_empty() && parts.is_empty() {
         return;
     }
-    let to = gateway.peers.borrow().knowing_copies(&[to]);
+    let to = gateway.peers.borrow().speaking(Version::ORIGIN_COPIES, &[to]);
     datagrams::send_now(gateway, Message::Refusals { requests, parts }, &to);
 }
 
--- a/crates/peer/src/version.rs
+++ b/crates/peer/src/version.rs
@@ -19,7 +19,8 @@
     pub const REACH: Version = Version(3);
     /// Answers to queries for the origin of a stream that the sender does not know.
     pub const ORIGIN_DENIALS: Version = Version(4);
-    /// Messages with the origins of several streams.
+    /// Messages with the origins of several streams, with suspects that were waiting, and with
+    /// what a gateway refuses.
     pub const ORIGIN_COPIES: Version = Version(5);
     /// The version of this build.
     pub const CURRENT: Version = Version::ORIGIN_COPIES;
@@ -56,12 +57,6 @@
     pub fn knows_denials(self) -> bool {
         self >= Version::ORIGIN_DENIALS
     }
-
-    /// Returns whether a gateway of this version understands the origins of several streams in
-    /// one message.
-    pub fn knows_origin_copies(self) -> bool {
-        self >= Version::ORIGIN_COPIES
-    }
 }
 
 impl Default for Version {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,8 @@
 //! | [`health`] | the health of an endpoint |
 //! | [`endpoint_group`], [`reach`] | whether a gateway reaches a service, or one build of it |
 //! | [`crashing_parts`] | detection of prompt parts that crash engines |
+//! | `suspect`, `crash`, `crash_stage`, `crash_evidence` | the crashes of a part, and what they say |
+//! | [`work_times`] | how long requests take, for a gateway that shuts down |
 //! | [`version_follower`] | reading the versions of the configuration |
 //! | [`settings`] | settings of these policies |
 //! | [`events`] | splitting of event streams |
