--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -64,7 +64,10 @@
         _ => 1.0,
     };
     let own_per_ms = loads.arrivals_per_ms(service, now);
-    let peers = if settings.policy.share_room { loads.peer_count() } else { 0 };
+    // A gateway's own few requests say little of those of hundreds, and what endpoints report
+    // includes these.
+    let shares_room = settings.policy.share_room && !loads.is_sampled();
+    let peers = if shares_room { loads.peer_count() } else { 0 };
     Unreported::estimate(own_per_ms, peers, age_ms, remaining_share)
 }
 
