Split the endpoint handle, and give its parts only what they need

Cause: endpoint_handle.rs held connections, reports, limits, permits and outcomes in 380 lines, and stood in a circle with loads.rs; metrics and forward_table took the whole gateway.

Change: endpoint_load, restrictions and in_flight are modules of their own; candidates are built in endpoint_table; metrics and forward_table get values. No behaviour changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
     framing::Framing,
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
-    loads::InFlight,
+    in_flight::InFlight,
     permit::Permit,
     permits,
     pool::{Connection, ConnectionChoice, SendError},
@@ -158,7 +158,7 @@
         return Err(log_failure(gateway, context, handle, AttemptError::Unknown, cause));
     }
     if let Some(load) = metadata.load {
-        handle.record_load(load, now);
+        handle.load.record(load, now);
     }
     handle.record_notices(&metadata, now);
     permits::record_limits(gateway, handle, &metadata);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,4 +1,4 @@
-//! Gateway directory for clients, and readiness checks.
+//! Gateway directory for clients, readiness checks, and metrics for operators.
 
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
@@ -39,6 +39,18 @@
     reply(if gateway.is_ready() { 200 } else { 503 }, "")
 }
 
+/// Responds with the current values of all metrics.
+pub(crate) async fn serve_metrics(
+    gateway: Rc<Gateway>,
+    _: Request<Incoming>,
+) -> Response<ReplyBody> {
+    gateway.metrics.set_state(gateway.config_version(), gateway.count_gateways());
+    match gateway.metrics.to_text() {
+        Ok(text) => reply(200, text),
+        Err(err) => reply(500, err.to_string()),
+    }
+}
+
 /// Returns the addresses of ready gateways in all data centres, at most
 /// [`MAX_ADDRESSES`]; those that reach no endpoint only if none does.
 fn ready_gateways(gateway: &Gateway, _data_centre: &str) -> Vec<SocketAddrV4> {
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -12,53 +12,26 @@
     Endpoint, EndpointGroup, EndpointState, PolicySettings,
     concurrency::Capacity,
     health::{Health, Outcome, Tally},
-    load::{self, MeanDuration, Report},
+    load::{MeanDuration, Report},
     permits::Claim,
-    placement::Candidate,
 };
 
 use crate::{
-    clock::Clock, dialect::ResponseMetadata, endpoint_limits::ObservedLimits, loads::Loads,
-    pool::Pool,
+    clock::Clock, dialect::ResponseMetadata, endpoint_load::EndpointLoad, pool::Pool,
+    restrictions::Restrictions,
 };
 
-/// Age up to which the load that an endpoint reported is sent to other
-/// gateways, in milliseconds.
-const MAX_SAMPLE_AGE_MS: u64 = 2_000;
-
-/// The load that an endpoint reported in a response.
-#[derive(Debug, Clone, Copy)]
-struct ReportedLoad {
-    load: u32,
-    at: Millis,
-    /// Whether the endpoint reported it to this gateway, not to a peer.
-    is_direct: bool,
-}
-
 /// Connections, load and health of one incarnation of an endpoint.
 #[derive(Debug)]
 pub(crate) struct EndpointHandle {
     pub(crate) endpoint: RefCell<Endpoint>,
     pub(crate) pool: Pool,
+    pub(crate) load: EndpointLoad,
+    restrictions: Restrictions,
     node: u64,
-    /// Number of this gateway's requests in flight.
-    in_flight: Cell<u32>,
-    reported: Cell<Option<ReportedLoad>>,
-    /// Whether the endpoint has said that it is shutting down.
-    is_leaving: Cell<bool>,
-    /// Time before which the endpoint wants no requests.
-    paused_until: Cell<Millis>,
-    /// What the endpoint accepts from all gateways together.
-    limits: Cell<ObservedLimits>,
-    /// Time before which no permit for the endpoint can be expected.
-    permits_from: Cell<Millis>,
-    /// Time before which no permit can be expected to be left over.
-    spare_from: Cell<Millis>,
     health: RefCell<Health>,
     /// Whether the endpoint has accepted a connection or responded.
     was_reached: Cell<bool>,
-    /// Mean duration of the requests of the endpoint's service.
-    mean_duration: Rc<Cell<MeanDuration>>,
     clock: Clock,
 }
 
@@ -76,17 +49,11 @@
         EndpointHandle {
             endpoint: RefCell::new(endpoint),
             pool,
+            load: EndpointLoad::new(mean_duration),
+            restrictions: Restrictions::default(),
             node,
-            in_flight: Cell::new(0),
-            reported: Cell::new(None),
-            is_leaving: Cell::new(false),
-            paused_until: Cell::default(),
-            limits: Cell::default(),
-            permits_from: Cell::default(),
-            spare_from: Cell::default(),
             health: RefCell::default(),
             was_reached: Cell::new(false),
-            mean_duration,
             clock,
         }
     }
@@ -108,30 +75,11 @@
         self.endpoint.borrow().id.clone()
     }
 
-    /// Returns the number of this gateway's requests in flight.
-    pub(crate) fn in_flight(&self) -> u32 {
-        self.in_flight.get()
-    }
-
-    /// Returns the mean duration of the requests of the endpoint's service.
-    pub(crate) fn mean_duration(&self) -> MeanDuration {
-        self.mean_duration.get()
-    }
-
-    /// Counts a request of this gateway as in flight; returns the current time.
-    pub(crate) fn add_request(&self) -> Millis {
-        self.in_flight.set(self.in_flight.get() + 1);
+    /// Returns the current time.
+    pub(crate) fn now(&self) -> Millis {
         self.clock.now()
     }
 
-    /// Stops counting a request of this gateway that was in flight since `started`.
-    pub(crate) fn remove_request(&self, started: Millis) {
-        self.in_flight.set(self.in_flight.get() - 1);
-        let mut mean_duration = self.mean_duration.get();
-        mean_duration.record(self.clock.now().since(started));
-        self.mean_duration.set(mean_duration);
-    }
-
     /// Records how a request ended.
     pub(crate) fn record_outcome(&self, policy: &PolicySettings, outcome: Outcome, now: Millis) {
         if matches!(outcome, Outcome::Answered | Outcome::Refused) {
@@ -151,56 +99,28 @@
 
     /// Records what the endpoint has said of itself in a response.
     pub(crate) fn record_notices(&self, metadata: &ResponseMetadata, now: Millis) {
-        if metadata.leaving && !self.is_leaving.replace(true) {
-            spdlog::info!("health: endpoint={} leaving=true", self.id());
-        }
-        if let Some(pause_ms) = metadata.pause_ms {
-            spdlog::info!("health: endpoint={} pause_ms={pause_ms}", self.id());
-            self.paused_until.set(self.paused_until.get().max(now + pause_ms));
-        }
+        self.restrictions.record_notices(&self.id(), metadata, now);
     }
 
     /// Logs what still holds of an incarnation that is listed again after `absent_ms`, if
     /// anything does.
     pub(crate) fn log_return(&self, absent_ms: u64) {
-        if self.pause_ms() == 0 && !self.is_leaving.get() && !self.limits().needs_permit() {
-            return;
-        }
-        spdlog::info!(
-            "health: endpoint={} returned=true absent_ms={absent_ms} pause_ms={} leaving={} \
-             rate_limit={:?}",
-            self.id(),
-            self.pause_ms(),
-            self.is_leaving.get(),
-            self.limits().rate
-        );
+        self.restrictions.log_return(&self.id(), absent_ms, self.now());
     }
 
     /// Returns the time for which the endpoint still wants no requests, in milliseconds.
     pub(crate) fn pause_ms(&self) -> u64 {
-        self.paused_until.get().since(self.clock.now())
+        self.restrictions.pause_ms(self.now())
     }
 
     /// Applies the limits that the endpoint named at `at`; returns whether that changes them.
     pub(crate) fn observe_limits(&self, limits: EndpointLimits, at: Millis, now: Millis) -> bool {
-        let mut observed = self.limits.get();
-        let has_changed = observed.observe(limits, at, now);
-        self.limits.set(observed);
-        if has_changed {
-            self.permits_from.set(now);
-            self.spare_from.set(now);
-            let EndpointLimits { rate, max_refusals } = limits;
-            spdlog::info!(
-                "health: endpoint={} rate_limit={rate:?} max_refusals={max_refusals:?}",
-                self.id()
-            );
-        }
-        has_changed
+        self.restrictions.observe_limits(&self.id(), limits, at, now)
     }
 
     /// Returns what the endpoint accepts from all gateways together.
     pub(crate) fn limits(&self) -> EndpointLimits {
-        self.limits.get().limits
+        self.restrictions.limits()
     }
 
     /// Returns whether the endpoint limits the requests per second.
@@ -216,32 +136,22 @@
 
     /// Returns the limits for other gateways.
     pub(crate) fn to_limit_sample(&self, now: Millis) -> LimitSample {
-        self.limits.get().to_sample(self.node, now)
+        self.restrictions.to_sample(self.node, now)
     }
 
     /// Returns the limits for other gateways, if they have changed lately.
     pub(crate) fn changed_limits(&self, now: Millis) -> Option<LimitSample> {
-        self.limits.get().is_news(now).then(|| self.to_limit_sample(now))
+        self.restrictions.changed_limits(self.node, now)
     }
 
     /// Records that no permit for `claim` can be expected before `time`.
     pub(crate) fn deny_permits_until(&self, claim: Claim, time: Millis) {
-        self.permits_from(claim).set(time);
-    }
-
-    fn permits_from(&self, claim: Claim) -> &Cell<Millis> {
-        match claim {
-            Claim::Preferred => &self.permits_from,
-            Claim::Spare => &self.spare_from,
-        }
+        self.restrictions.deny_permits_until(claim, time);
     }
 
     /// Returns the time until the endpoint may accept a request with `claim`, in milliseconds.
     pub(crate) fn wait_ms(&self, claim: Claim) -> u64 {
-        if !self.limits().needs_permit() {
-            return self.pause_ms();
-        }
-        self.pause_ms().max(self.permits_from(claim).get().since(self.clock.now()))
+        self.restrictions.wait_ms(claim, self.now())
     }
 
     /// Returns whether the endpoint may be sent new requests with `claim`.
@@ -268,7 +178,7 @@
 
     /// Returns whether the endpoint accepts new requests, as far as it has said.
     pub(crate) fn is_ready(&self) -> bool {
-        self.endpoint.borrow().state == EndpointState::Ready && !self.is_leaving.get()
+        self.endpoint.borrow().state == EndpointState::Ready && !self.restrictions.is_leaving()
     }
 
     /// Records that the endpoint has sent something after it was silent.
@@ -299,54 +209,18 @@
     /// Returns whether the endpoint last reported that all its slots are in
     /// use.
     pub(crate) fn is_busy(&self) -> bool {
-        self.reported.get().is_some_and(|it| it.load >= self.endpoint.borrow().slots)
-    }
-
-    /// Records the load that the endpoint reported to this gateway.
-    pub(crate) fn record_load(&self, load: u32, now: Millis) {
-        self.reported.set(Some(ReportedLoad { load, at: now, is_direct: true }));
+        self.load.is_busy(self.endpoint.borrow().slots)
     }
 
     /// Returns the load that the endpoint reported to this gateway, if it is
     /// recent.
-    pub(crate) fn to_sample(&self, now: Millis) -> Option<LoadSample> {
-        let report = self.reported.get().filter(|it| it.is_direct)?;
-        let age_ms = now.since(report.at);
-        (age_ms < MAX_SAMPLE_AGE_MS).then(|| LoadSample::new(self.node, report.load, age_ms))
-    }
-
-    /// Applies the load that the endpoint reported to another gateway, if that
-    /// is newer than the last known one.
-    pub(crate) fn apply_sample(&self, sample: &LoadSample, now: Millis) {
-        let at = now - sample.age_ms();
-        if self.reported.get().is_none_or(|known| known.at < at) {
-            self.reported.set(Some(ReportedLoad { load: sample.load(), at, is_direct: false }));
-        }
+    pub(crate) fn to_load_sample(&self, now: Millis) -> Option<LoadSample> {
+        self.load.to_sample(self.node, now)
     }
 
     /// Returns the last load that the endpoint reported.
     pub(crate) fn report(&self, now: Millis) -> Option<Report> {
-        let reported = self.reported.get()?;
-        Some(Report { load: reported.load.into(), age_ms: now.since(reported.at) })
-    }
-
-    /// Returns the endpoint as a candidate for placement; `known_load` is the
-    /// estimate from the requests of all gateways.
-    pub(crate) fn to_candidate(
-        &self,
-        known_load: f64,
-        data_centre: &str,
-        loads: &Loads,
-        now: Millis,
-    ) -> Candidate {
-        let tally = self.tally(now) + loads.peer_outcomes(self.node);
-        Candidate {
-            node: self.node,
-            load: load::with_report(known_load, self.report(now), loads.max_report_age_ms()),
-            is_local: &*self.endpoint.borrow().data_centre == data_centre,
-            failure_rate: tally.failure_rate(),
-            refusal_rate: tally.refusal_rate(),
-        }
+        self.load.report(now)
     }
 
     /// Tries to connect to the endpoint, and records whether that succeeds; returns it.
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -38,7 +38,7 @@
     let counts: Vec<Counts> = handles
         .iter()
         .map(|it| Counts {
-            own: it.in_flight().into(),
+            own: it.load.in_flight().into(),
             peers: loads.peer_requests(it.node()).into(),
         })
         .collect();
@@ -46,10 +46,29 @@
     handles
         .iter()
         .zip(known_loads)
-        .map(|(it, known_load)| it.to_candidate(known_load, &settings.data_centre, loads, now))
+        .map(|(it, known_load)| to_candidate(it, known_load, &settings.data_centre, loads, now))
         .collect()
 }
 
+/// Returns an endpoint as a candidate for placement; `known_load` is the estimate from the
+/// requests of all gateways.
+fn to_candidate(
+    handle: &EndpointHandle,
+    known_load: f64,
+    data_centre: &str,
+    loads: &Loads,
+    now: Millis,
+) -> Candidate {
+    let tally = handle.tally(now) + loads.peer_outcomes(handle.node());
+    Candidate {
+        node: handle.node(),
+        load: load::with_report(known_load, handle.report(now), loads.max_report_age_ms()),
+        is_local: &*handle.endpoint.borrow().data_centre == data_centre,
+        failure_rate: tally.failure_rate(),
+        refusal_rate: tally.refusal_rate(),
+    }
+}
+
 /// Estimates the requests that the loads of a service's endpoints do not include yet.
 pub(crate) fn estimate_unreported(
     service: &str,
@@ -60,7 +79,9 @@
 ) -> Unreported {
     let age_ms = loads_age_ms(handles, loads, now);
     let remaining_share = match handles.first() {
-        Some(first) if settings.policy.age_loads => first.mean_duration().remaining_share(age_ms),
+        Some(first) if settings.policy.age_loads => {
+            first.load.mean_duration().remaining_share(age_ms)
+        }
         _ => 1.0,
     };
     let own_per_ms = loads.arrivals_per_ms(service, now);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,7 +4,11 @@
 //! it says that it reaches no endpoint either, the next one is asked. What this gateway has sent
 //! for the request counts there too; see [`Handover`].
 
-use std::{net::Ipv4Addr, rc::Rc, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -165,7 +169,9 @@
     sends: Sends,
     peer: Ipv4Addr,
 ) -> Result<Response<ReplyBody>, ForwardError> {
-    let pool = gateway.forward_table.borrow_mut().pool(gateway, peer);
+    let address = SocketAddrV4::new(peer, gateway.settings.listen.forward);
+    let local = gateway.settings.address;
+    let pool = gateway.forward_table.borrow_mut().pool(address, local, gateway.clock);
     let request = build_request(gateway, context, sends, peer);
     context.is_sent.set(true);
     let sent = timeout(remaining(gateway, context), pool.send(request)).await;
--- a/crates/gateway/src/forward_table.rs
+++ b/crates/gateway/src/forward_table.rs
@@ -9,7 +9,7 @@
 use mimosaledge_core::Millis;
 use mimosaledge_policy::EndpointGroup;
 
-use crate::{gateway::Gateway, pool::Pool};
+use crate::{clock::Clock, pool::Pool};
 
 /// Connections to other gateways, and those that are not asked for the moment.
 #[derive(Debug, Default)]
@@ -20,13 +20,10 @@
 }
 
 impl ForwardTable {
-    /// Returns the pool of connections to a gateway.
-    pub(crate) fn pool(&mut self, gateway: &Gateway, peer: Ipv4Addr) -> Rc<Pool> {
-        let new = || {
-            let address = SocketAddrV4::new(peer, gateway.settings.listen.forward);
-            Rc::new(Pool::new(address, gateway.clock).with_local(gateway.settings.address))
-        };
-        self.pools.entry(peer).or_insert_with(new).clone()
+    /// Returns the pool of connections to the gateway `peer`, opened from the address `local`.
+    pub(crate) fn pool(&mut self, peer: SocketAddrV4, local: Ipv4Addr, clock: Clock) -> Rc<Pool> {
+        let new = || Rc::new(Pool::new(peer, clock).with_local(local));
+        self.pools.entry(*peer.ip()).or_insert_with(new).clone()
     }
 
     /// Hands a gateway no requests for `group`, or none at all, until `time`.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -96,7 +96,7 @@
     if is_large {
         outcomes.sort_unstable_by_key(|it| Reverse(it.failures()));
         outcomes.truncate(MAX_OUTCOMES);
-        samples = table.handles().filter_map(|it| it.to_sample(now)).collect();
+        samples = table.handles().filter_map(|it| it.to_load_sample(now)).collect();
         samples.sort_unstable_by_key(LoadSample::age_ms);
         samples.truncate(MAX_SAMPLES);
     }
@@ -222,7 +222,7 @@
     let table = gateway.endpoint_table.borrow();
     for sample in &heartbeat.samples {
         if let Some(handle) = table.find_short(sample.endpoint()) {
-            handle.apply_sample(sample, now);
+            handle.load.apply_sample(sample, now);
         }
     }
     drop(table);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,13 +17,14 @@
 //! | `budget` | takes retries from the retry budget |
 //! | `silence` | gives up a silent endpoint only for another one |
 //! | `permits`, `permit`, `permit_table`, `claims` | keep the limits of endpoints with the other gateways |
-//! | `endpoint_limits` | the limits that an endpoint has named |
+//! | `restrictions`, `endpoint_limits` | when an endpoint accepts requests, and how many |
 //! | `quarantine`, `crash_news` | finds out what crashes endpoints, refuses it, and tells of it |
 //! | `relay`, `arrival`, `upstream` | forwards a stream and resumes it at another endpoint |
 //! | `continuation` | which responses may continue a stream |
 //! | `reach` | finds out that no endpoint of a service is reachable |
 //! | `forward`, `forward_table` | hand requests over to a gateway that reaches endpoints |
-//! | `endpoint_handle`, `pool`, `loads` | connections, health and load of endpoints |
+//! | `endpoint_handle`, `pool` | connections and health of an endpoint |
+//! | `endpoint_load`, `loads`, `in_flight` | requests at endpoints, and what these report |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
 //! | `unlisted_handles` | what is known of endpoints that are not listed for a time |
 //! | `origins` | tells others which build began a stream, and finds it when a client resumes one |
@@ -54,6 +55,7 @@
 mod endpoint_handle;
 mod endpoint_limits;
 mod endpoint_list;
+mod endpoint_load;
 mod endpoint_table;
 mod error;
 mod error_response;
@@ -68,6 +70,7 @@
 mod headers;
 mod heard;
 mod http_client;
+mod in_flight;
 mod interruption;
 mod listener;
 mod loads;
@@ -85,6 +88,7 @@
 mod relay;
 mod request;
 mod request_context;
+mod restrictions;
 mod retry_state;
 mod run;
 mod selected;
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -1,6 +1,6 @@
 //! Requests in flight and recent outcomes, at this gateway and at its peers.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::collections::HashMap;
 
 use mimosaledge_core::{Millis, Name};
 use mimosaledge_peer::{Outcomes, RequestCount};
@@ -10,8 +10,6 @@
     load::{LARGE_FLEET_MAX_REPORT_AGE_MS, MAX_REPORT_AGE_MS},
 };
 
-use crate::endpoint_handle::EndpointHandle;
-
 /// Requests in flight, at this gateway and its peers, and the peers' recent
 /// outcomes.
 #[derive(Debug, Default)]
@@ -36,6 +34,21 @@
 }
 
 impl Loads {
+    /// Counts one more request of this gateway with this key.
+    pub(crate) fn add_own(&mut self, key: (u32, u32)) {
+        *self.own_requests.entry(key).or_insert(0) += 1;
+    }
+
+    /// Counts one request of this gateway with this key less.
+    pub(crate) fn remove_own(&mut self, key: (u32, u32)) {
+        if let Some(requests) = self.own_requests.get_mut(&key) {
+            *requests -= 1;
+            if *requests == 0 {
+                self.own_requests.remove(&key);
+            }
+        }
+    }
+
     /// Returns this gateway's requests in flight, by endpoint and prefix.
     pub(crate) fn own_request_counts(&self) -> Vec<RequestCount> {
         self.own_requests
@@ -159,49 +172,3 @@
         own + self.peer_prefix_requests.get(&short_prefix).copied().unwrap_or(0)
     }
 }
-
-/// Counts a request as in flight at an endpoint until it is dropped.
-#[derive(Debug)]
-pub(crate) struct InFlight {
-    handle: Rc<EndpointHandle>,
-    key: (u32, u32),
-    loads: Rc<RefCell<Loads>>,
-    started: Millis,
-}
-
-impl InFlight {
-    /// Starts counting a request at `handle`.
-    pub(crate) fn new(
-        handle: Rc<EndpointHandle>,
-        prefix: Option<u64>,
-        loads: Rc<RefCell<Loads>>,
-    ) -> InFlight {
-        let key = (handle.node() as u32, prefix.unwrap_or(0) as u32);
-        *loads.borrow_mut().own_requests.entry(key).or_insert(0) += 1;
-        let started = handle.add_request();
-        InFlight { handle, key, loads, started }
-    }
-
-    /// Returns when the request was sent.
-    pub(crate) fn started(&self) -> Millis {
-        self.started
-    }
-
-    /// Returns the endpoint.
-    pub(crate) fn handle(&self) -> &Rc<EndpointHandle> {
-        &self.handle
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.handle.remove_request(self.started);
-        let mut loads = self.loads.borrow_mut();
-        if let Some(requests) = loads.own_requests.get_mut(&self.key) {
-            *requests -= 1;
-            if *requests == 0 {
-                loads.own_requests.remove(&self.key);
-            }
-        }
-    }
-}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,17 +1,11 @@
 //! Metrics of a gateway, in the Prometheus text format.
 
-use std::rc::Rc;
-
 use eyre::Result;
-use hyper::{Request, Response, body::Incoming};
-use mimosaledge_net::server::{ReplyBody, reply};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
 
-use crate::gateway::Gateway;
-
 /// Upper bounds of the latency histogram's buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
     [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0];
@@ -137,22 +131,20 @@
         })
     }
 
-    fn to_text(&self) -> Result<Vec<u8>> {
+    /// Sets the version of the configuration and the number of live gateways.
+    pub(crate) fn set_state(&self, version: u64, gateways: usize) {
+        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.gateways.set(gateways as i64);
+    }
+
+    /// Returns the current values of all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a metric cannot be encoded.
+    pub(crate) fn to_text(&self) -> Result<Vec<u8>> {
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
     }
 }
-
-/// Responds with the current values of all metrics.
-pub(crate) async fn serve_metrics(
-    gateway: Rc<Gateway>,
-    _: Request<Incoming>,
-) -> Response<ReplyBody> {
-    gateway.metrics.version.set(i64::try_from(gateway.config_version()).unwrap_or(i64::MAX));
-    gateway.metrics.gateways.set(gateway.count_gateways() as i64);
-    match gateway.metrics.to_text() {
-        Ok(text) => reply(200, text),
-        Err(err) => reply(500, err.to_string()),
-    }
-}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,21 +12,9 @@
 };
 
 use crate::{
-    build_records,
-    dialect::Dialect,
-    directory,
-    drain::Phase,
-    follow, follow_config,
-    gateway::Gateway,
-    gossip, listener,
-    log_sink::LogSink,
-    metrics::{self, Metrics},
-    permits, reach,
-    request::Source,
-    settings::Settings,
-    socket,
-    store::Store,
-    sync,
+    build_records, dialect::Dialect, directory, drain::Phase, follow, follow_config,
+    gateway::Gateway, gossip, listener, log_sink::LogSink, metrics::Metrics, permits, reach,
+    request::Source, settings::Settings, socket, store::Store, sync,
 };
 
 /// Interval between two runs of the maintenance tasks.
@@ -156,7 +144,7 @@
     }));
     let state = gateway.clone();
     spawn_local(server::serve(metrics_listener, move |req| {
-        metrics::serve_metrics(state.clone(), req)
+        directory::serve_metrics(state.clone(), req)
     }));
     spawn_local(sync::serve_syncs(gateway.clone(), sync_listener));
     spawn_local(listener::accept(gateway.clone(), forward_listener, Source::Gateway));
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -5,7 +5,7 @@
 use mimosaledge_policy::RetryPolicy;
 
 use crate::{
-    attempt::OpenResponse, framing::Framing, loads::InFlight, permit::Permit, pool::Connection,
+    attempt::OpenResponse, framing::Framing, in_flight::InFlight, permit::Permit, pool::Connection,
 };
 
 /// The response of the endpoint that currently sends the stream.
