Carry slow starts, homes, evacuations and cold endpoints between gateways

Change: protocol 6. A configuration is followed by its extension in syncs, a heartbeat by one of its own, a request for a permit by how long the endpoint stays cold; layouts of earlier builds are as they were (tests of recorded bytes). Memory, descriptors and regions come by the environment: earlier builds refuse unknown keys in the settings file.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -15,7 +15,9 @@
 };
 
 use mimosaledge_core::Millis;
-use mimosaledge_peer::{Heartbeat, LoadSample, Message, Outcomes, Version, datagram};
+use mimosaledge_peer::{
+    Heartbeat, HeartbeatExtension, LoadSample, Message, Outcomes, Version, datagram,
+};
 use mimosaledge_policy::{EndpointGroup, crashing_parts::CrashStage};
 use tokio::{net::UdpSocket, task::spawn_local, time};
 
@@ -118,6 +120,10 @@
         sound_parts: peers.crash_news.sound_parts(),
         known_peers: peers.ready(now).take(if is_large { 1 } else { MAX_KNOWN_PEERS }).collect(),
         failure_report: peers.failure_report(now),
+        extension: HeartbeatExtension {
+            region: gateway.settings.region_hash(),
+            ..HeartbeatExtension::default()
+        },
         unreached: if gateway.is_cut_off() { Vec::new() } else { unreached_numbers(&table) },
     }
 }
@@ -183,6 +189,8 @@
                 quarantine::learn_refusals(&gateway, *from.ip(), &requests, &parts);
                 continue;
             }
+            // Cold endpoints are not told apart yet.
+            Message::Warmups(_) => continue,
             Message::Limits(samples) => {
                 permits::apply_samples(&gateway, &samples, gateway.now());
                 continue;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -108,6 +108,6 @@
     error_response::{Code, ErrorResponse},
     http_client::HttpClient,
     run::run,
-    settings::{Bounds, Listen, Settings, StoreSettings},
+    settings::{Bounds, Listen, Machine, Settings, StoreSettings},
     store::{GatewayEntry, Page, Record, Store, Topic},
 };
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -80,7 +80,8 @@
 ) -> (u32, Decision) {
     let limits = handle.to_limit_sample(gateway.now());
     let (number, response) = gateway.permit_table.borrow_mut().add_pending();
-    let request = PermitRequest { number, endpoint: handle.node(), claim, ttl_ms, limits };
+    let request =
+        PermitRequest { number, endpoint: handle.node(), claim, ttl_ms, limits, warmup_ms: 0 };
     datagrams::send_now(gateway, Message::PermitRequest(request), &[issuer]);
     let decision = timeout(RESPONSE_TIMEOUT, response).await;
     gateway.permit_table.borrow_mut().take_pending(number);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,16 +1,24 @@
 //! Settings of a gateway, read from a YAML file.
 
 use std::{
-    fs,
+    collections::BTreeMap,
+    env, fs,
     net::{Ipv4Addr, SocketAddrV4},
     path::Path,
 };
 
 use eyre::{Context, Report, Result, bail, ensure, eyre};
-use mimosaledge_core::Name;
+use mimosaledge_core::{Name, hash::hash32};
 use mimosaledge_policy::{PolicySettings, retry_budget::RetryLimit};
 use serde::Deserialize;
 
+/// Environment variable with the memory of the process, in MB.
+const MEMORY_VARIABLE: &str = "MIMOSALEDGE_MEMORY_MB";
+/// Environment variable with the maximum number of file descriptors.
+const FDS_VARIABLE: &str = "MIMOSALEDGE_MAX_FDS";
+/// Environment variable with the region of each data centre, as a YAML or JSON map.
+const REGIONS_VARIABLE: &str = "MIMOSALEDGE_REGIONS";
+
 /// Addresses and ports on which a gateway listens.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -53,6 +61,18 @@
     pub directory_ttl_s: f64,
 }
 
+/// What the VM gives to the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Machine {
+    /// Memory at which the process is killed, in MB.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+    /// Maximum number of open file descriptors.
+    #[serde(default)]
+    pub max_fds: Option<u64>,
+}
+
 /// Settings of one gateway.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -77,12 +97,51 @@
     pub store: StoreSettings,
     /// The operators' limits.
     pub bounds: Bounds,
+    /// What the VM gives to the process.
+    #[serde(default)]
+    pub machine: Machine,
+    /// Region of each data centre; empty if it does not matter.
+    #[serde(default)]
+    pub regions: BTreeMap<Name, Name>,
     /// Settings of the policies.
     #[serde(default)]
     pub policy: PolicySettings,
 }
 
 impl Settings {
+    /// Returns the region of a data centre, if it is known.
+    pub(crate) fn region_of(&self, data_centre: &str) -> Option<&Name> {
+        self.regions.get(data_centre)
+    }
+
+    /// Returns the hash of the name of this gateway's region, or 0 if the fleet has only one.
+    pub(crate) fn region_hash(&self) -> u32 {
+        let Some(own) = self.region_of(&self.data_centre) else { return 0 };
+        let is_only = self.regions.values().all(|it| it == own);
+        if is_only { 0 } else { hash32(own.as_bytes()) }
+    }
+
+    /// Adds the settings that the template leaves to the environment, which gateways of earlier
+    /// builds ignore; `variable` returns the value of a variable.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the first invalid variable.
+    pub fn apply_environment(&mut self, variable: impl Fn(&str) -> Option<String>) -> Result<()> {
+        let given = |name: &str| variable(name).filter(|it| !it.is_empty());
+        let number = |name: &str| -> Result<Option<u64>> {
+            let parse = |it: String| it.parse().wrap_err_with(|| format!("invalid {name}"));
+            given(name).map(parse).transpose()
+        };
+        self.machine.memory_mb = self.machine.memory_mb.or(number(MEMORY_VARIABLE)?);
+        self.machine.max_fds = self.machine.max_fds.or(number(FDS_VARIABLE)?);
+        if let Some(regions) = given(REGIONS_VARIABLE).filter(|_| self.regions.is_empty()) {
+            self.regions = serde_saphyr::from_str(&regions)
+                .wrap_err_with(|| format!("invalid {REGIONS_VARIABLE}"))?;
+        }
+        Ok(())
+    }
+
     /// Returns the limit on retries.
     pub(crate) fn to_retry_limit(&self) -> RetryLimit {
         RetryLimit {
@@ -101,7 +160,10 @@
     pub fn from_file(path: &Path) -> Result<Settings> {
         let text =
             fs::read_to_string(path).wrap_err_with(|| format!("cannot read {}", path.display()))?;
-        Settings::from_text(&text).wrap_err_with(|| format!("wrong settings in {}", path.display()))
+        let mut settings = Settings::from_text(&text)
+            .wrap_err_with(|| format!("wrong settings in {}", path.display()))?;
+        settings.apply_environment(|name| env::var(name).ok())?;
+        Ok(settings)
     }
 
     /// Parses and validates settings.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -4,9 +4,11 @@
 use std::{cell::Cell, io, net::Ipv4Addr, rc::Rc, time::Duration};
 
 use mimosaledge_core::hash::hash64;
-use mimosaledge_peer::{ListUpdate, SyncRequest, SyncResponse, sync as messages};
+use mimosaledge_peer::{
+    ListUpdate, SyncRequest, SyncResponse,
+    sync::{self as messages, SyncMessage},
+};
 use mimosaledge_policy::FleetConfig;
-use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -161,14 +163,14 @@
     }
 }
 
-async fn write_message(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
+async fn write_message(stream: &mut TcpStream, message: &impl SyncMessage) -> io::Result<()> {
     let bytes = messages::encode(message).map_err(io::Error::other)?;
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
     stream.write_u32(length).await?;
     stream.write_all(&bytes).await
 }
 
-async fn read_message<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
+async fn read_message<T: SyncMessage>(stream: &mut TcpStream) -> io::Result<T> {
     let length = stream.read_u32().await?;
     if length > MAX_MESSAGE_BYTES {
         return Err(io::Error::new(io::ErrorKind::InvalidData, "message too large"));
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -1,5 +1,7 @@
 //! Encoding and decoding of datagrams.
 
+use serde::de::DeserializeOwned;
+
 use crate::{
     error::{Error, Result},
     frame::{self, Frame},
@@ -43,22 +45,43 @@
 /// Encodes what follows the layout of a message.
 fn encode_extension(message: &Message) -> Result<Vec<u8>> {
     match message {
-        Message::Heartbeat(heartbeat) if !heartbeat.unreached.is_empty() => {
-            postcard::to_stdvec(&heartbeat.unreached).map_err(Error::codec)
+        Message::Heartbeat(it) if !it.extension.is_empty() => {
+            postcard::to_stdvec(&(&it.unreached, &it.extension)).map_err(Error::codec)
+        }
+        Message::Heartbeat(it) if !it.unreached.is_empty() => {
+            postcard::to_stdvec(&it.unreached).map_err(Error::codec)
+        }
+        Message::PermitRequest(request) if request.warmup_ms > 0 => {
+            postcard::to_stdvec(&request.warmup_ms).map_err(Error::codec)
         }
         _ => Ok(Vec::new()),
     }
 }
 
-/// Adds to a message what follows its layout; what a later version has put there instead is
-/// ignored.
-fn apply_extension(message: &mut Message, extension: &[u8]) {
-    if let Message::Heartbeat(heartbeat) = message {
-        heartbeat.unreached =
-            postcard::take_from_bytes(extension).map(|(it, _)| it).unwrap_or_default();
+/// Adds to a message of `version` what follows its layout; what a later version has put there
+/// instead is ignored.
+fn apply_extension(message: &mut Message, extension: &[u8], version: Version) {
+    let is_extended = version >= Version::EXTENSIONS;
+    match message {
+        Message::Heartbeat(heartbeat) => {
+            let (unreached, rest) = take_or_default(extension);
+            heartbeat.unreached = unreached;
+            if is_extended {
+                heartbeat.extension = take_or_default(rest).0;
+            }
+        }
+        Message::PermitRequest(request) if is_extended => {
+            request.warmup_ms = take_or_default(extension).0;
+        }
+        _ => {}
     }
 }
 
+/// Decodes a value and returns the bytes after it, or the default if there is none.
+fn take_or_default<T: DeserializeOwned + Default>(bytes: &[u8]) -> (T, &[u8]) {
+    postcard::take_from_bytes(bytes).unwrap_or_default()
+}
+
 /// Decodes a datagram of any version; `sender` is the version that its sender has spoken
 /// before, if it has.
 ///
@@ -70,7 +93,7 @@
     let message = match frame::decode(bytes) {
         Ok(Frame { value: mut message, extension, version: Some(version) }) => {
             if version >= Version::REACH {
-                apply_extension(&mut message, extension);
+                apply_extension(&mut message, extension, version);
             }
             return Ok(Datagram { message, version });
         }
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     endpoint_limits::LimitSample,
+    heartbeat_extension::HeartbeatExtension,
     load_sample::LoadSample,
     outcomes::Outcomes,
     reports::{CrashReport, SuspectReport},
@@ -48,4 +49,7 @@
     /// message, so that they are no part of its layout.
     #[serde(skip)]
     pub unreached: Vec<u32>,
+    /// What was added later; it follows `unreached`.
+    #[serde(skip)]
+    pub extension: HeartbeatExtension,
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -21,7 +21,8 @@
 //! | [`sync`] | the messages over TCP |
 //! | `change_batch`, `state_summary` | configuration and endpoint list in messages |
 //! | `rejections` | which rejected datagrams are logged |
-//! | `endpoint_limits`, `load_sample`, `outcomes`, `reports`, `request_count` | parts of heartbeats |
+//! | `endpoint_limits`, `load_sample`, `outcomes`, `reports`, `request_count`, `heartbeat_extension` | parts of heartbeats |
+//! | `warmup_sample` | how long endpoints stay cold |
 
 mod change_batch;
 pub mod datagram;
@@ -29,6 +30,7 @@
 mod error;
 mod frame;
 mod heartbeat;
+mod heartbeat_extension;
 mod load_sample;
 mod message;
 mod old_heartbeat;
@@ -39,6 +41,7 @@
 mod state_summary;
 pub mod sync;
 mod version;
+mod warmup_sample;
 
 pub use crate::{
     change_batch::ChangeBatch,
@@ -46,6 +49,7 @@
     endpoint_limits::{EndpointLimits, LimitSample},
     error::{Error, Result},
     heartbeat::Heartbeat,
+    heartbeat_extension::{EvacuationSummary, HeartbeatExtension},
     load_sample::LoadSample,
     message::{Message, PermitRequest},
     outcomes::Outcomes,
@@ -55,4 +59,5 @@
     state_summary::StateSummary,
     sync::{ListUpdate, SyncRequest, SyncResponse},
     version::Version,
+    warmup_sample::WarmupSample,
 };
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -13,6 +13,7 @@
     reports::{Refusal, SuspectReport},
     state_summary::StateSummary,
     version::Version,
+    warmup_sample::WarmupSample,
 };
 
 /// A datagram between gateways.
@@ -66,6 +67,8 @@
         /// Parts of prompts that the sender refuses.
         parts: Vec<Refusal>,
     },
+    /// Sent by a gateway that has learned of cold endpoints, and to one that becomes ready.
+    Warmups(Vec<WarmupSample>),
 }
 
 impl Message {
@@ -85,6 +88,7 @@
             Message::StreamOrigins(_) | Message::WaitingSuspects(_) | Message::Refusals { .. } => {
                 Version::ORIGIN_COPIES
             }
+            Message::Warmups(_) => Version::EXTENSIONS,
         }
     }
 }
@@ -102,4 +106,8 @@
     pub ttl_ms: u64,
     /// The endpoint's limits, as the asking gateway knows them.
     pub limits: LimitSample,
+    /// Time for which the endpoint stays cold, as the asking gateway knows it, in milliseconds.
+    /// It follows the message, so that it is no part of its layout.
+    #[serde(skip)]
+    pub warmup_ms: u32,
 }
--- a/crates/peer/src/old_heartbeat.rs
+++ b/crates/peer/src/old_heartbeat.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     heartbeat::Heartbeat,
+    heartbeat_extension::HeartbeatExtension,
     load_sample::LoadSample,
     outcomes::Outcomes,
     reports::{CrashReport, SuspectReport},
@@ -62,6 +63,7 @@
             known_peers: it.known_peers,
             failure_report: it.failure_report,
             unreached: Vec::new(),
+            extension: HeartbeatExtension::default(),
         }
     }
 }
--- a/crates/peer/src/sync.rs
+++ b/crates/peer/src/sync.rs
@@ -3,7 +3,11 @@
 use mimosaledge_policy::{Endpoint, FleetConfig, Position, endpoints::Change};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{error::Result, frame};
+use crate::{
+    error::{Error, Result},
+    frame::{self, Frame},
+    version::Version,
+};
 
 /// The state that the requesting gateway has.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -40,13 +44,49 @@
     pub age_ms: u64,
 }
 
+/// A request or response, and what follows its layout.
+pub trait SyncMessage: Serialize + DeserializeOwned {
+    /// Encodes what follows the layout.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it cannot be encoded.
+    fn encode_extension(&self) -> Result<Vec<u8>> {
+        Ok(Vec::new())
+    }
+
+    /// Adds what follows the layout.
+    fn apply_extension(&mut self, _extension: &[u8]) {}
+}
+
+impl SyncMessage for SyncRequest {}
+
+impl SyncMessage for SyncResponse {
+    fn encode_extension(&self) -> Result<Vec<u8>> {
+        match &self.config {
+            Some(config) if !config.extension.is_empty() => {
+                postcard::to_stdvec(&config.extension).map_err(Error::codec)
+            }
+            _ => Ok(Vec::new()),
+        }
+    }
+
+    fn apply_extension(&mut self, extension: &[u8]) {
+        if let (Some(config), Ok((it, _))) =
+            (&mut self.config, postcard::take_from_bytes(extension))
+        {
+            config.extension = it;
+        }
+    }
+}
+
 /// Encodes a request or response.
 ///
 /// # Errors
 ///
 /// Returns an error if it cannot be encoded.
-pub fn encode(message: &impl Serialize) -> Result<Vec<u8>> {
-    frame::encode(message, &[])
+pub fn encode(message: &impl SyncMessage) -> Result<Vec<u8>> {
+    frame::encode(message, &message.encode_extension()?)
 }
 
 /// Decodes a request or response.
@@ -54,6 +94,10 @@
 /// # Errors
 ///
 /// Returns an error if the bytes are none.
-pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
-    Ok(frame::decode(bytes)?.value)
+pub fn decode<T: SyncMessage>(bytes: &[u8]) -> Result<T> {
+    let Frame { value: mut message, extension, version } = frame::decode::<T>(bytes)?;
+    if version.is_some_and(|it| it >= Version::EXTENSIONS) {
+        message.apply_extension(extension);
+    }
+    Ok(message)
 }
--- a/crates/peer/src/version.rs
+++ b/crates/peer/src/version.rs
@@ -22,8 +22,11 @@
     /// Messages with the origins of several streams, with suspects that were waiting, and with
     /// what a gateway refuses.
     pub const ORIGIN_COPIES: Version = Version(5);
+    /// Heartbeats, configurations and requests for permits with extensions, and messages on
+    /// cold endpoints.
+    pub const EXTENSIONS: Version = Version(6);
     /// The version of this build.
-    pub const CURRENT: Version = Version::ORIGIN_COPIES;
+    pub const CURRENT: Version = Version::EXTENSIONS;
 
     /// Returns the version with the number `number`, which may be unknown to this build.
     pub(crate) fn from_number(number: u8) -> Version {
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -8,15 +8,17 @@
 
 use mimosaledge_core::{Millis, hash::hash32};
 use mimosaledge_peer::{
-    Datagram, Error, Heartbeat, Message, Refusal, Rejections, SuspectReport, SyncRequest,
-    SyncResponse, Version, datagram, sync,
+    Datagram, Error, EvacuationSummary, Heartbeat, HeartbeatExtension, Message, Refusal,
+    Rejections, SuspectReport, SyncRequest, SyncResponse, Version, datagram,
+    sync::{self, SyncMessage},
 };
 use mimosaledge_policy::{
-    crashing_parts::CrashSuspect, membership::FailureReport, stream_origins::BuildOrigins,
+    ConfigExtension, Homes, Position, SlowStart, crashing_parts::CrashSuspect,
+    membership::FailureReport, stream_origins::BuildOrigins,
 };
 use proptest::prelude::*;
 use recorded::{OLD_HEARTBEAT, RECORDED};
-use serde::{Serialize, de::DeserializeOwned};
+use serde::de::DeserializeOwned;
 
 /// Size of the footer: version and checksum.
 const FOOTER_BYTES: usize = 5;
@@ -170,6 +172,49 @@
     assert_eq!(received.message, as_received(&sample));
 }
 
+#[test]
+fn extension_of_a_heartbeat_is_understood_and_passed_over_by_earlier_builds() {
+    let (_, sample) = samples::messages().remove(0);
+    let extension = HeartbeatExtension {
+        region: 9,
+        evacuations: Some(EvacuationSummary {
+            position: Position { era: 1, offset: 440 },
+            data_centres: vec![7, 8],
+        }),
+    };
+    for unreached in [vec![], vec![1, 2]] {
+        let heartbeat = Heartbeat {
+            unreached: unreached.clone(),
+            extension: extension.clone(),
+            ..heartbeat_of(&sample).clone()
+        };
+        let sent = Message::Heartbeat(Box::new(heartbeat));
+        let bytes = encode(&sent, Version::CURRENT);
+        assert_eq!(datagram::decode(&bytes, None).unwrap().message, sent);
+        assert_eq!(decode_as_before::<Message>(&bytes), as_received(&sample));
+        // Version 5 reads the groups that follow the message, and passes over the rest.
+        let body = bytes[..bytes.len() - FOOTER_BYTES].to_vec();
+        let read = datagram::decode(&with_footer(body, 5), None).unwrap();
+        assert_eq!(heartbeat_of(&read.message).unreached, unreached);
+        assert!(heartbeat_of(&read.message).extension.is_empty());
+    }
+}
+
+#[test]
+fn configuration_extension_follows_a_sync() {
+    let (_, sample) = samples::sync_responses().remove(0);
+    let mut sent = sample.clone();
+    let Some(config) = &mut sent.config else { panic!("the sample has no configuration") };
+    config.extension = ConfigExtension {
+        slow_starts: vec![SlowStart { service: "app".into(), duration_ms: 3_000, rate: 14.0 }],
+        routes: vec![Homes { name: "r-1".into(), regions: vec!["north".into()] }],
+        workspaces: Vec::new(),
+    };
+    let bytes = sync::encode(&sent).unwrap();
+    assert_eq!(sync::decode::<SyncResponse>(&bytes).unwrap(), sent);
+    assert_eq!(decode_as_before::<SyncResponse>(&bytes), sample);
+}
+
 #[test]
 fn later_version_may_put_more_bytes_before_the_footer() {
     for (name, message) in samples::messages() {
@@ -266,7 +311,7 @@
     assert!(many <= 1_024, "{many} lines");
 }
 
-fn check_sync<T: Serialize + DeserializeOwned + PartialEq + std::fmt::Debug>(name: &str, value: T) {
+fn check_sync<T: SyncMessage + PartialEq + std::fmt::Debug>(name: &str, value: T) {
     let old = recorded(name);
     assert_eq!(sync::decode::<T>(&old).unwrap(), value, "{name}");
     let new = sync::encode(&value).unwrap();
--- a/crates/peer/tests/samples/mod.rs
+++ b/crates/peer/tests/samples/mod.rs
@@ -85,6 +85,7 @@
             priority: Some(2),
             keys: vec!["key-1".into()],
         }]),
+        ..FleetConfig::default()
     }
 }
 
@@ -103,7 +104,7 @@
         sound_parts: vec![901],
         known_peers: vec![address(2), address(3)],
         failure_report: FailureReport { suspected: vec![address(4)], dead: vec![address(5)] },
-        unreached: Vec::new(),
+        ..Heartbeat::default()
     }
 }
 
@@ -129,6 +130,7 @@
                 claim: Claim::Spare,
                 ttl_ms: 1_500,
                 limits: limits(),
+                warmup_ms: 0,
             }),
         ),
         (
--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -6,7 +6,12 @@
 use mimosaledge_core::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{limits::Limits, route::Route, service::Service};
+use crate::{
+    config_extension::{ConfigExtension, Homes, SlowStart},
+    limits::Limits,
+    route::Route,
+    service::Service,
+};
 
 /// A workspace with its API keys and priority.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +37,10 @@
     pub limits: Limits,
     /// All workspaces, or `None` if no request needs an API key.
     pub workspaces: Option<Vec<Workspace>>,
+    /// What was added later. It follows the configuration in messages between gateways, so
+    /// that it is no part of its layout.
+    #[serde(skip)]
+    pub extension: ConfigExtension,
 }
 
 /// Why a request is denied.
@@ -51,6 +60,12 @@
     /// Routes by lower-case host and path prefix.
     hosts: HashMap<String, HashMap<Name, Arc<Route>>>,
     services: HashMap<Name, Service>,
+    /// Services whose endpoints start slowly.
+    slow_starts: HashMap<Name, SlowStart>,
+    /// Homes of routes, by route.
+    route_homes: HashMap<Name, Arc<[Name]>>,
+    /// Homes of workspaces, by workspace.
+    workspace_homes: HashMap<Name, Arc<[Name]>>,
     /// Name and priority of the workspace, by API key; `None` if no request needs
     /// a key.
     api_keys: Option<HashMap<Name, (Name, Option<u8>)>>,
@@ -65,6 +80,20 @@
     pub workspace: Option<Name>,
     /// The priority of the request; 0 is the most urgent.
     pub priority: u8,
+    /// Regions that the request may not leave, of the route and of the workspace; where both
+    /// are given, both bind.
+    pub homes: [Option<Arc<[Name]>>; 2],
+}
+
+impl AuthorizedRequest {
+    /// Returns whether the request may go to `region`; a region that is not known is none of
+    /// its homes.
+    pub fn may_enter(&self, region: Option<&str>) -> bool {
+        let is_home = |homes: &Arc<[Name]>| {
+            region.is_some_and(|region| homes.iter().any(|it| **it == *region))
+        };
+        self.homes.iter().flatten().all(is_home)
+    }
 }
 
 impl RouteTable {
@@ -85,7 +114,18 @@
             }
             keys
         });
-        RouteTable { version: config.version, limits: config.limits, hosts, services, api_keys }
+        let extension = &config.extension;
+        let slow_starts = extension.slow_starts.iter().map(|it| (it.service.clone(), it.clone()));
+        RouteTable {
+            version: config.version,
+            limits: config.limits,
+            hosts,
+            services,
+            slow_starts: slow_starts.collect(),
+            route_homes: index_homes(&extension.routes),
+            workspace_homes: index_homes(&extension.workspaces),
+            api_keys,
+        }
     }
 
     /// Returns the configuration's version.
@@ -103,6 +143,11 @@
         self.services.get(name)
     }
 
+    /// Returns how the endpoints of a service start, if they start slowly.
+    pub fn slow_start(&self, service: &str) -> Option<&SlowStart> {
+        self.slow_starts.get(service)
+    }
+
     /// Returns the route of `host` whose path prefix is the longest that matches
     /// `path`; a port in `host` is ignored.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
@@ -133,6 +178,12 @@
         }
         let workspace = owner.map(|(name, _)| name.clone());
         let priority = owner.and_then(|(_, priority)| *priority).unwrap_or(route.priority);
-        Ok(AuthorizedRequest { route, workspace, priority })
+        let workspace_homes = workspace.as_ref().and_then(|it| self.workspace_homes.get(it));
+        let homes = [self.route_homes.get(&route.name).cloned(), workspace_homes.cloned()];
+        Ok(AuthorizedRequest { route, workspace, priority, homes })
     }
 }
+
+fn index_homes(homes: &[Homes]) -> HashMap<Name, Arc<[Name]>> {
+    homes.iter().map(|it| (it.name.clone(), it.regions.clone().into())).collect()
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | content |
 //! |---|---|
 //! | [`config`] | the configuration, and routing and authorization of requests |
+//! | `config_extension` | the parts of it that earlier builds do not know |
 //! | [`endpoints`] | the set of endpoints, kept up during outages of the platform's list |
 //! | [`position`] | positions in the platform's log, across restores of its store |
 //! | [`history`] | the latest changes of the endpoint list |
@@ -30,6 +31,7 @@
 pub mod builds;
 pub mod concurrency;
 pub mod config;
+mod config_extension;
 mod crash;
 mod crash_evidence;
 mod crash_stage;
@@ -68,6 +70,7 @@
 pub use crate::{
     build_id::BuildId,
     config::FleetConfig,
+    config_extension::{ConfigExtension, Homes, SlowStart},
     endpoint::{Endpoint, EndpointState},
     endpoint_group::EndpointGroup,
     error::{Error, Result},
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -74,6 +74,7 @@
         services: Vec::new(),
         limits: Limits::default(),
         workspaces: Some(vec![workspace]),
+        ..FleetConfig::default()
     })
 }
 
