--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -52,7 +52,7 @@
             postcard::to_stdvec(&it.unreached).map_err(Error::codec)
         }
         Message::PermitRequest(request) if request.warmup_ms > 0 => {
-            postcard::to_stdvec(&request.warmup_ms).map_err(Error::codec)
+            postcard::to_stdvec(&[request.warmup_ms].as_slice()).map_err(Error::codec)
         }
         _ => Ok(Vec::new()),
     }
@@ -71,7 +71,8 @@
             }
         }
         Message::PermitRequest(request) if is_extended => {
-            request.warmup_ms = take_or_default(extension).0;
+            let (left_ms, _): (Vec<u32>, _) = take_or_default(extension);
+            request.warmup_ms = left_ms.first().copied().unwrap_or_default();
         }
         _ => {}
     }
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -8,8 +8,8 @@
 
 use mimosaledge_core::{Millis, hash::hash32};
 use mimosaledge_peer::{
-    Datagram, Error, EvacuationSummary, Heartbeat, HeartbeatExtension, Message, Refusal,
-    Rejections, SuspectReport, SyncRequest, SyncResponse, Version, datagram,
+    Datagram, Error, EvacuationSummary, Heartbeat, HeartbeatExtension, Message, PermitRequest,
+    Refusal, Rejections, SuspectReport, SyncRequest, SyncResponse, Version, WarmupSample, datagram,
     sync::{self, SyncMessage},
 };
 use mimosaledge_policy::{
@@ -200,11 +200,29 @@
     }
 }
 
+#[test]
+fn request_for_a_permit_says_how_long_the_endpoint_stays_cold() {
+    let samples = samples::messages().into_iter().map(|(_, it)| it);
+    let mut requests = samples.filter_map(|it| match it {
+        Message::PermitRequest(request) => Some(request),
+        _ => None,
+    });
+    let sample = requests.next().unwrap();
+    let sent = Message::PermitRequest(PermitRequest { warmup_ms: 2_900, ..sample });
+    let bytes = encode(&sent, Version::CURRENT);
+    assert_eq!(datagram::decode(&bytes, None).unwrap().message, sent);
+    assert_eq!(decode_as_before::<Message>(&bytes), Message::PermitRequest(sample));
+    let cold = Message::Warmups(vec![WarmupSample { endpoint: 7, left_ms: 2_900 }]);
+    assert_eq!(datagram::encode(&cold, Version::ORIGIN_COPIES).unwrap(), None);
+    assert_eq!(datagram::decode(&encode(&cold, Version::CURRENT), None).unwrap().message, cold);
+}
+
 #[test]
 fn configuration_extension_follows_a_sync() {
-    let (_, sample) = samples::sync_responses().remove(0);
+    let mut responses = samples::sync_responses().into_iter().map(|(_, it)| it);
+    let sample = responses.find(|it| it.config.is_some()).unwrap();
     let mut sent = sample.clone();
-    let Some(config) = &mut sent.config else { panic!("the sample has no configuration") };
+    let config = sent.config.as_mut().unwrap();
     config.extension = ConfigExtension {
         slow_starts: vec![SlowStart { service: "app".into(), duration_ms: 3_000, rate: 14.0 }],
         routes: vec![Homes { name: "r-1".into(), regions: vec!["north".into()] }],
