Pass on no promise of an endpoint that has run the request

Cause: a response with 503, 429 or 408 and without the header that says that the request has not run was handed to the client of a request that must not run twice, as it came.

Idempotent requests keep what the endpoint says. What a gateway of an earlier build hands on is checked alike, by its seal.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -16,12 +16,14 @@
     attempt::{Attempt, AttemptError, OpenResponse, log_failure, log_silence},
     body_buffer::{self, BodyError},
     budget, continuation,
+    endpoint_handle::EndpointHandle,
     error_response::{Code, ErrorResponse},
     forward::{self, ForwardError},
     framing::Framing,
     gateway::Gateway,
     headers::strip_hop_by_hop_headers,
     pool::ConnectionChoice,
+    promises::{makes_false_promise, promises_not_run},
     quarantine, relay,
     request_context::RequestContext,
     retry_state::RetryState,
@@ -109,6 +111,9 @@
                 log_failure(gateway, &context, &handle, error, cause)
             }
             Ok(open) => match collect_response(gateway, &context, open).await {
+                Ok(response) if makes_false_promise(&context, response.status()) => {
+                    return Err(reject_promise(gateway, &context, &handle));
+                }
                 Ok(response) if !should_retry(&context, &response) => {
                     return Ok(response);
                 }
@@ -156,9 +161,16 @@
     }
 }
 
-/// Returns whether a status says that the request has not run.
-fn promises_not_run(status: StatusCode) -> bool {
-    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+/// Logs the promise of an endpoint that is not passed on; returns the error response instead of
+/// it.
+fn reject_promise(
+    gateway: &Gateway,
+    context: &RequestContext,
+    handle: &EndpointHandle,
+) -> ErrorResponse {
+    let cause = "promise of an endpoint that has run the request";
+    log_failure(gateway, context, handle, AttemptError::Unknown, cause);
+    ErrorResponse::from_code(Code::Unknown)
 }
 
 /// Returns the error response for a request that was handed over to another gateway, which
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -30,6 +30,7 @@
     handover::Handover,
     headers::strip_hop_by_hop_headers,
     pool::{Connection, Pool, SendError},
+    promises::makes_false_promise,
     request_context::RequestContext,
 };
 
@@ -183,6 +184,11 @@
     };
     let (mut head, body) = response.into_parts();
     let is_rejected = head.headers.remove(NO_ENDPOINT_HEADER).is_some();
+    // Gateways of earlier builds pass on what an endpoint says that has run the request.
+    let has_run = gateway.dialect.decode_response(&head).sealed;
+    if has_run && makes_false_promise(context, head.status) {
+        return Err(ForwardError::Unknown);
+    }
     strip_hop_by_hop_headers(&mut head.headers);
     let body = PeerBody { gateway: gateway.clone(), context: context.clone(), connection, body };
     if context.route().streaming && head.status.is_success() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `selection`, `selected` | selects the endpoint for each attempt, or none under overload |
 //! | `budget` | takes retries from the retry budget |
 //! | `silence` | gives up a silent endpoint only for another one |
+//! | `promises` | statuses that say that a request has not run |
 //! | `permits`, `permit`, `permit_table`, `claims` | keep the limits of endpoints with the other gateways |
 //! | `restrictions`, `endpoint_limits` | when an endpoint accepts requests, and how many |
 //! | `quarantine`, `crash_news` | finds out what crashes endpoints, refuses it, and tells of it |
@@ -83,6 +84,7 @@
 mod permit_table;
 mod permits;
 mod pool;
+mod promises;
 mod quarantine;
 mod reach;
 mod relay;
