Take no endpoint from the list on the word of one response

Cause: every 421 was taken for that of another endpoint at the address, and the endpoint was removed from the list for good, at this gateway alone, so that digests differed too.

Change: a 421 concerns the address only if another endpoint says that it responds, or if the request names no version of the weights. The endpoint then gets no requests for 3 s, and stays listed; the list decides.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -164,8 +164,13 @@
     permits::record_limits(gateway, handle, &metadata);
     connection.set_idle_timeout(metadata.idle_timeout_ms);
     if metadata.misdirected {
-        gateway.remove_endpoint(&handle.id());
-        return Err(log_failure(gateway, context, handle, AttemptError::NotRun, "wrong endpoint"));
+        let cause = if is_from_another(context, handle, &metadata) {
+            handle.record_misdirection(now);
+            "wrong endpoint"
+        } else {
+            "wrong version of the weights"
+        };
+        return Err(log_failure(gateway, context, handle, AttemptError::NotRun, cause));
     }
     if metadata.not_run {
         permit.mark_refused();
@@ -198,6 +203,22 @@
     }
 }
 
+/// Returns whether a rejected request has reached another endpoint than `handle`.
+///
+/// An endpoint also rejects requests that name another version of the weights than its own.
+/// Without the identifier of the endpoint that responds, such a request says nothing about the
+/// address.
+fn is_from_another(
+    context: &RequestContext,
+    handle: &EndpointHandle,
+    metadata: &ResponseMetadata,
+) -> bool {
+    match &metadata.endpoint {
+        Some(id) => *id != handle.id(),
+        None => !context.metadata.names_version,
+    }
+}
+
 fn build_request(
     gateway: &Gateway,
     context: &RequestContext,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -36,6 +36,8 @@
     pub prompt: Vec<PromptPart>,
     /// Maximum number of tokens to generate.
     pub max_tokens: Option<u32>,
+    /// Whether the request may only run with one version of the weights.
+    pub names_version: bool,
 }
 
 /// Metadata that the gateway sets in a request to an endpoint.
@@ -65,8 +67,11 @@
     pub sealed: bool,
     /// Whether the endpoint states that the request did not run.
     pub not_run: bool,
-    /// Whether the request reached another endpoint than the intended one.
+    /// Whether the endpoint rejects the request since it is not for it: another endpoint was
+    /// intended, or another version of its weights.
     pub misdirected: bool,
+    /// Identifier of the endpoint that responds, if it is given.
+    pub endpoint: Option<Name>,
     /// Number of requests running and waiting at the endpoint, if reported.
     pub load: Option<u32>,
     /// Time for which the endpoint keeps an idle connection open, in
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -102,6 +102,11 @@
         self.restrictions.record_notices(&self.id(), metadata, now);
     }
 
+    /// Records that another endpoint has responded at the address.
+    pub(crate) fn record_misdirection(&self, now: Millis) {
+        self.restrictions.record_misdirection(&self.id(), now);
+    }
+
     /// Logs what still holds of an incarnation that is listed again after `absent_ms`, if
     /// anything does.
     pub(crate) fn log_return(&self, absent_ms: u64) {
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -1,6 +1,5 @@
 //! Methods of [`Gateway`] that keep the endpoint list and the state derived from it.
 
-use mimosaledge_core::Name;
 use mimosaledge_peer::{ChangeBatch, StateSummary};
 use mimosaledge_policy::{
     Endpoint, Position,
@@ -173,16 +172,6 @@
         self.history.borrow_mut().clear();
         self.update_endpoint_table(&endpoints);
     }
-
-    /// Removes an endpoint after another one has responded at its address.
-    pub(crate) fn remove_endpoint(&self, id: &Name) {
-        let mut endpoints = self.endpoints.borrow_mut();
-        if endpoints.apply(Change::Remove(id.clone()), self.now()) {
-            spdlog::info!("endpoints: id={id} gone=true cause=misdirected");
-            self.history.borrow_mut().record(self.list_digest.get(), &[Change::Remove(id.clone())]);
-            self.update_endpoint_table(&endpoints);
-        }
-    }
 }
 
 fn format_change(change: &Change) -> String {
--- a/crates/gateway/src/restrictions.rs
+++ b/crates/gateway/src/restrictions.rs
@@ -9,6 +9,10 @@
 
 use crate::{dialect::ResponseMetadata, endpoint_limits::ObservedLimits};
 
+/// Time for which an endpoint gets no requests after another one has responded at its address,
+/// in milliseconds; the endpoint list catches up meanwhile.
+const MISDIRECTED_PAUSE_MS: u64 = 3_000;
+
 /// Restrictions on requests to one incarnation of an endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct Restrictions {
@@ -36,6 +40,13 @@
         }
     }
 
+    /// Records that another endpoint has responded at the address of the endpoint `id`, which
+    /// then gets no requests for a while: the list says whether it is gone.
+    pub(crate) fn record_misdirection(&self, id: &str, now: Millis) {
+        spdlog::info!("health: endpoint={id} misdirected=true pause_ms={MISDIRECTED_PAUSE_MS}");
+        self.paused_until.set(self.paused_until.get().max(now + MISDIRECTED_PAUSE_MS));
+    }
+
     /// Logs what still holds of the endpoint `id`, which is listed again after `absent_ms`, if
     /// anything does.
     pub(crate) fn log_return(&self, id: &str, absent_ms: u64, now: Millis) {
