Let no client remove or set what the gateway sets

Change: what concerns one connection is removed first, from what the client has sent; headers of the platform concern a message beyond its connection, whatever a Connection header says; the headers of a hand-over are taken off every request and count only from gateways.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -234,8 +234,9 @@
         last_event,
         fetch_from,
     };
-    let mut headers = gateway.dialect.encode_forward(&context.head.headers, &metadata);
-    strip_hop_by_hop_headers(&mut headers);
+    let mut client = context.head.headers.clone();
+    strip_hop_by_hop_headers(&mut client, &*gateway.dialect);
+    let headers = gateway.dialect.encode_forward(client, &metadata);
     let mut request = Request::new(Full::new(context.body.clone()));
     *request.method_mut() = context.head.method.clone();
     *request.uri_mut() = origin_form(&context.head.uri);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddrV4;
 
-use hyper::{HeaderMap, http::request, http::response};
+use hyper::{HeaderMap, header::HeaderName, http::request, http::response};
 use mimosaledge_core::Name;
 
 use crate::error_response::ErrorResponse;
@@ -96,9 +96,13 @@
     /// Decodes the head of a client's request.
     fn decode_request(&self, head: &request::Parts) -> RequestMetadata;
 
-    /// Builds the headers of a request to an endpoint from the client's
-    /// headers.
-    fn encode_forward(&self, client: &HeaderMap, forward: &ForwardMetadata) -> HeaderMap;
+    /// Returns whether a header concerns a request or response beyond one connection, although
+    /// its sender may say otherwise.
+    fn is_end_to_end(&self, name: &HeaderName) -> bool;
+
+    /// Builds the headers of a request to an endpoint from the client's headers, without those
+    /// of its connection.
+    fn encode_forward(&self, client: HeaderMap, forward: &ForwardMetadata) -> HeaderMap;
 
     /// Decodes the head of an endpoint's response.
     fn decode_response(&self, head: &response::Parts) -> ResponseMetadata;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -78,10 +78,9 @@
     let arrived = gateway.now();
     let (mut head, body) = incoming.into_parts();
     let mut metadata = gateway.dialect.decode_request(&head);
-    let handover = match source {
-        Source::Client => None,
-        Source::Gateway => Some(Handover::take_from(&mut head.headers)),
-    };
+    // A client may send these headers, too, but says nothing by them.
+    let handover = Handover::take_from(&mut head.headers);
+    let handover = (source == Source::Gateway).then_some(handover);
     if let Some(deadline_ms) = handover.and_then(|it| it.deadline_ms) {
         metadata.deadline_ms = Some(deadline_ms);
     }
