Send no requests to evacuated data centres

Cause: operators evacuate a data centre by a key beside the configuration, which the gateway ignored.

Change: each gateway follows these records with the configuration; heartbeats carry them, with the position in the log, to gateways that start or are cut off from the store. Endpoints of an evacuated data centre are not ready, so that no request, retry, resumed stream, replacement, probe or hand-over goes there, and a request selected before the news is not sent after it. What runs there ends there. What a restored store lacks stays in force for the recovery grace. Logged once a change, with metrics. Slow start of endpoints that are taken back is to be joined at evacuation::mark_returned.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -116,10 +116,11 @@
     let Selected { handle, permit, grant } = selected;
     let handle = &handle;
     let in_flight = InFlight::new(handle.clone(), context.prefix, gateway.loads.clone());
-    // The process may be paused while the connection is opened.
+    // The process may be paused while the connection is opened, or the endpoint evacuated.
     let build = || {
         let now = gateway.now();
-        let is_allowed = permit.is_usable(now) && context.remaining_ms(now) > 0;
+        let is_allowed =
+            permit.is_usable(now) && context.remaining_ms(now) > 0 && !handle.is_evacuated();
         is_allowed.then(|| {
             context.is_sent.set(true);
             build_request(gateway, context, handle, last_event)
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -17,6 +17,7 @@
     body_buffer::{self, BodyError},
     budget, continuation,
     error_response::{Code, ErrorResponse},
+    evacuation,
     forward::{self, ForwardError},
     framing::Framing,
     gateway::Gateway,
@@ -29,6 +30,9 @@
     silence::{Waited, Waiting},
 };
 
+/// Retry delay for a request whose endpoints are all evacuated, in milliseconds: operators end
+/// that, not other requests.
+const EVACUATED_RETRY_MS: u64 = 1_000;
 /// Minimum retry delay for a request that no endpoint accepted, in
 /// milliseconds.
 ///
@@ -330,10 +334,13 @@
     let code = if context.remaining_ms(gateway.now()) < MIN_REMAINING_MS {
         Code::TooLate
     } else if is_untouched {
-        Code::NoEndpoint
+        evacuation::no_endpoint_code(gateway, &context.service)
     } else {
         Code::Refused
     };
-    let wait_ms = selection::wait_ms(gateway, context);
+    let wait_ms = match code {
+        Code::Evacuated => EVACUATED_RETRY_MS,
+        _ => selection::wait_ms(gateway, context),
+    };
     ErrorResponse::with_retry_after(code, retry_after_ms(&context.metadata.attempt_id, wait_ms))
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, Response, body::Incoming, header::CONTENT_TYPE, header::HeaderValue};
 use mimosaledge_net::server::{ReplyBody, reply};
 
-use crate::gateway::Gateway;
+use crate::{evacuation, gateway::Gateway};
 
 /// Maximum number of addresses in a response.
 const MAX_ADDRESSES: usize = 64;
@@ -45,6 +45,7 @@
     _: Request<Incoming>,
 ) -> Response<ReplyBody> {
     gateway.metrics.set_state(gateway.config_version(), gateway.count_gateways());
+    gateway.metrics.set_evacuations(&evacuation::states(&gateway));
     match gateway.metrics.to_text() {
         Ok(text) => reply(200, text),
         Err(err) => reply(500, err.to_string()),
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -32,6 +32,8 @@
     health: RefCell<Health>,
     /// Whether the endpoint has accepted a connection or responded.
     was_reached: Cell<bool>,
+    /// Whether the endpoint's data centre is evacuated.
+    is_evacuated: Cell<bool>,
     clock: Clock,
 }
 
@@ -54,6 +56,7 @@
             node,
             health: RefCell::default(),
             was_reached: Cell::new(false),
+            is_evacuated: Cell::new(false),
             clock,
         }
     }
@@ -176,9 +179,22 @@
         self.is_of(&group.service) && group.build.is_none_or(|it| it == build_key())
     }
 
-    /// Returns whether the endpoint accepts new requests, as far as it has said.
+    /// Returns whether the endpoint accepts new requests, as far as it has said, and may be sent
+    /// them.
     pub(crate) fn is_ready(&self) -> bool {
-        self.endpoint.borrow().state == EndpointState::Ready && !self.restrictions.is_leaving()
+        !self.is_evacuated()
+            && self.endpoint.borrow().state == EndpointState::Ready
+            && !self.restrictions.is_leaving()
+    }
+
+    /// Returns whether the endpoint's data centre is evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.is_evacuated.get()
+    }
+
+    /// Records whether the endpoint's data centre is evacuated; returns whether it was before.
+    pub(crate) fn set_evacuated(&self, is_evacuated: bool) -> bool {
+        self.is_evacuated.replace(is_evacuated)
     }
 
     /// Records that the endpoint has sent something after it was silent.
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -7,7 +7,7 @@
     endpoints::{Change, Endpoints},
 };
 
-use crate::{gateway::Gateway, reach};
+use crate::{evacuation, gateway::Gateway, reach};
 
 /// Time without confirmation by the store or a peer after which the endpoint list may lack
 /// endpoints that others know, in milliseconds.
@@ -135,6 +135,7 @@
             self.settings.address,
             self.clock,
         );
+        evacuation::mark_endpoints(self);
         self.builds.borrow_mut().record(endpoints.iter(), self.now());
         reach::start_probes(self);
     }
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -103,7 +103,8 @@
     recent.iter().sum::<u64>() / recent.len().max(1) as u64
 }
 
-fn count_reach<'a>(handles: impl Iterator<Item = &'a Rc<EndpointHandle>>) -> Reach {
+/// Counts the endpoints that accept requests, and those of them that this gateway reaches.
+pub(crate) fn count_reach<'a>(handles: impl Iterator<Item = &'a Rc<EndpointHandle>>) -> Reach {
     let mut reach = Reach::default();
     for handle in handles.filter(|it| it.is_ready()) {
         reach.add(handle.is_reachable(), handle.was_reached());
--- a/crates/gateway/src/follow_config.rs
+++ b/crates/gateway/src/follow_config.rs
@@ -1,4 +1,4 @@
-//! Reads the configuration from the store as it changes.
+//! Reads the configuration, and the evacuations of data centres, from the store as they change.
 //!
 //! Every gateway waits at the store for the next version. Only a response to such a call
 //! proves that a version is current, and a call may never get one; so a few gateways wait
@@ -13,6 +13,7 @@
 use crate::{
     cursor::{CALL_TIMEOUT, Cursor, Read},
     error::Result,
+    evacuation,
     follow::{self, CONFIRMATION_CHECK_INTERVAL},
     gateway::Gateway,
     gossip,
@@ -107,9 +108,11 @@
     if read.is_complete {
         gateway.confirm_config(read.current_at);
     }
+    evacuation::apply_read(gateway, &read);
     for record in read.records {
         match record {
             Record::Config(config) => gateway.apply_config(*config, "store"),
+            Record::Evacuation { .. } => {}
             record => follow::log_unreadable(Topic::Config, record),
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
     config::RouteTable,
     crashing_parts::CrashingParts,
     endpoints::Endpoints,
+    evacuations::{DataCentre, Evacuations},
     history::History,
     origin_search::OriginSearch,
     prefix_cache::CachedPrefixes,
@@ -69,6 +70,10 @@
     pub(crate) routes: RefCell<Rc<RouteTable>>,
     /// The endpoint list, as read from the store or received from a peer.
     pub(crate) endpoints: RefCell<Endpoints>,
+    /// Data centres whose endpoints get no requests.
+    pub(crate) evacuations: RefCell<Evacuations>,
+    /// Names of those that the store has named to this gateway.
+    pub(crate) evacuation_names: RefCell<HashMap<DataCentre, Name>>,
     /// Connections, load and health of the listed endpoints.
     pub(crate) endpoint_table: RefCell<EndpointTable>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
@@ -160,6 +165,8 @@
             config: RefCell::default(),
             routes: RefCell::default(),
             endpoints: RefCell::default(),
+            evacuations: RefCell::default(),
+            evacuation_names: RefCell::default(),
             endpoint_table: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::new(Quarantine::with_retention(CRASH_RETENTION_MS)),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -24,6 +24,7 @@
 use crate::{
     datagrams::{self, Outgoing},
     endpoint_table::EndpointTable,
+    evacuation,
     gateway::Gateway,
     origins, permits, quarantine,
     status::Status,
@@ -122,7 +123,7 @@
         failure_report: peers.failure_report(now),
         extension: HeartbeatExtension {
             region: gateway.settings.region_hash(),
-            ..HeartbeatExtension::default()
+            evacuations: evacuation::summary(gateway),
         },
         unreached: if gateway.is_cut_off() { Vec::new() } else { unreached_numbers(&table) },
     }
@@ -222,6 +223,9 @@
 
 fn handle_heartbeat(gateway: &Gateway, from: Ipv4Addr, version: Version, heartbeat: Heartbeat) {
     let now = gateway.now();
+    if let Some(summary) = &heartbeat.extension.evacuations {
+        evacuation::apply_summary(gateway, summary, from);
+    }
     for crash in &heartbeat.crashes {
         gateway.quarantine.borrow_mut().record_crash(crash.fingerprint, crash.endpoint, now);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 //! | `datagrams` | sends messages to other gateways, of this build or another |
 //! | `sync` | fetches missing state from another gateway |
 //! | `gateway` | holds the state that these modules share |
+//! | `evacuation` | sends no requests to evacuated data centres |
 //! | `endpoint_list` | applies changes of the endpoint list to that state |
 //! | `run`, `drain` | startup, maintenance and graceful shutdown |
 
@@ -59,6 +60,7 @@
 mod endpoint_table;
 mod error;
 mod error_response;
+mod evacuation;
 mod follow;
 mod follow_config;
 mod forward;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,10 +2,12 @@
 
 use eyre::Result;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
+use crate::evacuation::EvacuationState;
+
 /// Upper bounds of the latency histogram's buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
     [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0];
@@ -26,6 +28,8 @@
     pub(crate) forwards: IntCounterVec,
     version: IntGauge,
     gateways: IntGauge,
+    evacuation_age: IntGaugeVec,
+    evacuated_requests: IntGaugeVec,
 }
 
 impl Metrics {
@@ -100,6 +104,22 @@
         let version =
             IntGauge::new("mimosaledge_config_version", "Version of the configuration in force.")?;
         let gateways = IntGauge::new("mimosaledge_gateways", "Gateways alive, this one included.")?;
+        let evacuation_age = IntGaugeVec::new(
+            Opts::new(
+                "mimosaledge_evacuation_seconds",
+                "Time since a data centre was evacuated; absent for the others.",
+            ),
+            &["data_centre"],
+        )?;
+        let evacuated_requests = IntGaugeVec::new(
+            Opts::new(
+                "mimosaledge_evacuated_requests",
+                "Requests of this gateway that still run in an evacuated data centre.",
+            ),
+            &["data_centre"],
+        )?;
+        registry.register(Box::new(evacuation_age.clone()))?;
+        registry.register(Box::new(evacuated_requests.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(cut_off_requests.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
@@ -128,9 +148,22 @@
             forwards,
             version,
             gateways,
+            evacuation_age,
+            evacuated_requests,
         })
     }
 
+    /// Sets the evacuated data centres.
+    pub(crate) fn set_evacuations(&self, evacuations: &[EvacuationState]) {
+        self.evacuation_age.reset();
+        self.evacuated_requests.reset();
+        for EvacuationState { data_centre, age_ms, requests } in evacuations {
+            let age_s = i64::try_from(age_ms / 1_000).unwrap_or(i64::MAX);
+            self.evacuation_age.with_label_values(&[&**data_centre]).set(age_s);
+            self.evacuated_requests.with_label_values(&[&**data_centre]).set((*requests).into());
+        }
+    }
+
     /// Sets the version of the configuration and the number of live gateways.
     pub(crate) fn set_state(&self, version: u64, gateways: usize) {
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -38,7 +38,7 @@
 pub(crate) fn start_probes(gateway: &Gateway) {
     let now = gateway.now();
     let table = gateway.endpoint_table.borrow();
-    for handle in table.handles().filter(|it| !it.is_available()) {
+    for handle in table.handles().filter(|it| !it.is_available() && !it.is_evacuated()) {
         let handle = handle.clone();
         spawn_local(async move { handle.probe(now).await });
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -12,7 +12,7 @@
 /// A topic of the store, which is a log of keyed records.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Topic {
-    /// The fleet's configuration.
+    /// The fleet's configuration, and the evacuated data centres.
     Config,
     /// Entries of endpoints.
     Endpoints,
@@ -36,6 +36,13 @@
 pub enum Record {
     /// A version of the configuration.
     Config(Box<FleetConfig>),
+    /// An evacuation of a data centre, in the topic of the configuration.
+    Evacuation {
+        /// The data centre.
+        data_centre: Name,
+        /// Whether it is evacuated, or taken back.
+        in_force: bool,
+    },
     /// A change of the endpoint list.
     Endpoint(Change),
     /// An entry of a gateway.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`config`] | the configuration, and routing and authorization of requests |
 //! | `config_extension` | the parts of it that earlier builds do not know |
 //! | [`endpoints`] | the set of endpoints, kept up during outages of the platform's list |
+//! | [`evacuations`] | data centres whose endpoints get no requests |
 //! | [`position`] | positions in the platform's log, across restores of its store |
 //! | [`history`] | the latest changes of the endpoint list |
 //! | [`membership`] | failure detection between gateways, and recipients of heartbeats |
@@ -42,6 +43,7 @@
 pub mod endpoint_group;
 pub mod endpoints;
 mod error;
+pub mod evacuations;
 pub mod events;
 pub mod health;
 pub mod history;
