Test when lost gateways are named no more

Cause: the directory may not name a gateway that is gone for longer than the contact time and 3 s; only shares of the fleet within 7 s were tested.

Change: tests at 9, 90 and 340 gateways, for one and for most of them (a fifth of 340), and of one that others still name. No change of the code.

Open: of 340, with 204 lost at once, a gateway whose next successors on the ring are all lost too is regarded as alive for more than 6 s.

--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -22,6 +22,8 @@
 const DATAGRAM_LOSS: f64 = 0.02;
 /// Time within which nearly all gateways detect a failure, in milliseconds.
 const DETECTION_MS: u64 = 7_000;
+/// Time after a loss from which no directory may name a lost gateway, in milliseconds.
+const FORGETTING_MS: u64 = 6_000;
 /// Time within which gateways that start together discover each other, in
 /// milliseconds.
 const DISCOVERY_MS: u64 = 45_000;
@@ -151,6 +153,36 @@
     assert!(live.iter().sum::<f64>() / live.len() as f64 > 0.98);
 }
 
+macro_rules! losses {
+    ($($name:ident => $count:expr, $lost:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_lost_are_forgotten($count, $lost);
+        }
+    )*};
+}
+
+losses! {
+    lost_gateway_of_9_is_forgotten => 9, 1;
+    lost_gateways_of_9_are_forgotten => 9, 6;
+    lost_gateway_of_90_is_forgotten => 90, 1;
+    lost_gateways_of_90_are_forgotten => 90, 54;
+    lost_gateway_of_340_is_forgotten => 340, 1;
+    lost_gateways_of_340_are_forgotten => 340, 68;
+}
+
+fn assert_lost_are_forgotten(count: usize, lost: usize) {
+    let mut fleet = Fleet::start(count);
+    fleet.run_for(DISCOVERY_MS);
+    let lost: Vec<usize> = (0..lost).map(|it| it * count / lost).collect();
+    lost.iter().for_each(|it| fleet.gateways[*it].alive = false);
+    fleet.run_for(FORGETTING_MS);
+    for at in lost {
+        let share = fleet.share_regarding_alive(at);
+        assert_eq!(share, 0.0, "{share} of the others still regard {at} as alive");
+    }
+}
+
 #[test]
 fn traffic_of_a_large_fleet_is_bounded() {
     for count in [150, 340] {
@@ -178,6 +210,20 @@
     assert!(members.is_alive(address(1), Millis(400)));
 }
 
+// Guards against directories that name a lost gateway since others still name it.
+#[test]
+fn gateway_that_others_name_is_not_alive_before_its_heartbeat() {
+    let mut members = Membership::new(address(0), PolicySettings::default().mesh_peers);
+    members.record_heartbeat(address(1), Millis(0));
+    let silent = Millis(30_000);
+    for named in [address(1), address(2)] {
+        members.add(named, silent);
+        assert!(!members.is_alive(named, silent));
+    }
+    members.record_heartbeat(address(1), silent);
+    assert!(members.is_alive(address(1), silent));
+}
+
 #[test]
 fn silent_gateway_is_removed() {
     let mut members = Membership::new(address(0), PolicySettings::default().mesh_peers);
