Keep requests in the home regions of their route and workspace

Cause: the configuration's homes were read, and bound nothing.

Change: endpoints outside are not seen by selection, permits and reach; a body is handed over only to a gateway that has named a home region in its heartbeat; a home that is lost is refused with 3014. For a host whose routes have homes, the directory names gateways of the client's region, then of the homes. Requests without homes, and hosts without, are served as before.

Changed test: directory_responds_only_at_lookup_path now checks host, region and data centre as decoded, not the data centre alone; the interface hands all three.

Tests: policy homes (6 cases), platform homes (3 cases); with a fault that takes all regions for homes and names all gateways, all 3 fail.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -15,9 +15,8 @@
 use crate::{
     attempt::{Attempt, AttemptError, OpenResponse, log_failure, log_silence},
     body_buffer::{self, BodyError},
-    budget, continuation,
+    budget, continuation, eligibility,
     error_response::{Code, ErrorResponse},
-    evacuation,
     forward::{self, ForwardError},
     framing::Framing,
     gateway::Gateway,
@@ -30,9 +29,9 @@
     silence::{Waited, Waiting},
 };
 
-/// Retry delay for a request whose endpoints are all evacuated, in milliseconds: operators end
-/// that, not other requests.
-const EVACUATED_RETRY_MS: u64 = 1_000;
+/// Retry delay for a request whose endpoints are all evacuated, or unavailable in its home
+/// regions, in milliseconds: operators or new endpoints end that, not other requests.
+const UNAVAILABLE_RETRY_MS: u64 = 1_000;
 /// Minimum retry delay for a request that no endpoint accepted, in
 /// milliseconds.
 ///
@@ -334,12 +333,12 @@
     let code = if context.remaining_ms(gateway.now()) < MIN_REMAINING_MS {
         Code::TooLate
     } else if is_untouched {
-        evacuation::no_endpoint_code(gateway, &context.service)
+        eligibility::no_endpoint_code(gateway, context)
     } else {
         Code::Refused
     };
     let wait_ms = match code {
-        Code::Evacuated => EVACUATED_RETRY_MS,
+        Code::Evacuated | Code::HomeUnavailable => UNAVAILABLE_RETRY_MS,
         _ => selection::wait_ms(gateway, context),
     };
     ErrorResponse::with_retry_after(code, retry_after_ms(&context.metadata.attempt_id, wait_ms))
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -7,7 +7,9 @@
     placement,
 };
 
-use crate::{endpoint_handle::EndpointHandle, gateway::Gateway, request_context::RequestContext};
+use crate::{
+    eligibility, endpoint_handle::EndpointHandle, gateway::Gateway, request_context::RequestContext,
+};
 
 /// Number of endpoints that are asked for a permit for a prompt prefix: the one that it belongs
 /// to, and the next ones.
@@ -27,10 +29,10 @@
     /// set.
     pub(crate) fn new(gateway: &Gateway, context: &RequestContext, may_ask: bool) -> Claims {
         let table = gateway.endpoint_table.borrow();
-        let known = table.of_service(&context.service);
-        let is_limited = known.iter().any(|it| it.is_rate_limited());
+        let known = || eligibility::endpoints(gateway, &table, context);
+        let is_limited = known().any(|it| it.is_rate_limited());
         let ranked = context.prefix.filter(|_| is_limited).map(|prefix| {
-            let available = known.iter().filter(|it| it.is_available());
+            let available = known().filter(|it| it.is_available());
             let mut ranked = placement::rank(prefix, available.map(|it| it.node()));
             ranked.truncate(MAX_RANK);
             ranked
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -86,6 +86,17 @@
     pub max_refusals: Option<u32>,
 }
 
+/// What a client asks the directory for.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DirectoryQuery {
+    /// The host that the client will send requests to.
+    pub host: Name,
+    /// Region of the client; empty if it names none.
+    pub region: Name,
+    /// Data centre of the client; empty if it names none.
+    pub data_centre: Name,
+}
+
 /// Translates between a platform's HTTP messages and metadata types.
 pub trait Dialect {
     /// Decodes the head of a client's request.
@@ -103,12 +114,11 @@
 
     /// Returns the status and body for a directory request.
     ///
-    /// `addresses` returns the gateways that clients in a data centre should
-    /// use.
+    /// `addresses` returns the gateways that the client should use.
     fn encode_directory(
         &self,
         head: &request::Parts,
-        addresses: &dyn Fn(&str) -> Vec<SocketAddrV4>,
+        addresses: &dyn Fn(&DirectoryQuery) -> Vec<SocketAddrV4>,
     ) -> (u16, Vec<u8>);
 
     /// Returns whether the request is a readiness check.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -6,9 +6,10 @@
 };
 
 use hyper::{Request, Response, body::Incoming, header::CONTENT_TYPE, header::HeaderValue};
+use mimosaledge_core::{Name, hash::hash32};
 use mimosaledge_net::server::{ReplyBody, reply};
 
-use crate::{evacuation, gateway::Gateway};
+use crate::{dialect::DirectoryQuery, evacuation, gateway::Gateway};
 
 /// Maximum number of addresses in a response.
 const MAX_ADDRESSES: usize = 64;
@@ -19,9 +20,8 @@
     request: Request<Incoming>,
 ) -> Response<ReplyBody> {
     let (head, _) = request.into_parts();
-    let (status, body) = gateway
-        .dialect
-        .encode_directory(&head, &|data_centre| ready_gateways(&gateway, data_centre));
+    let (status, body) =
+        gateway.dialect.encode_directory(&head, &|query| ready_gateways(&gateway, query));
     let mut response = reply(status, body);
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
@@ -52,10 +52,10 @@
     }
 }
 
-/// Returns the addresses of ready gateways in all data centres, at most
-/// [`MAX_ADDRESSES`]; those that reach no endpoint only if none does.
-fn ready_gateways(gateway: &Gateway, _data_centre: &str) -> Vec<SocketAddrV4> {
-    let port = gateway.settings.listen.clients.port();
+/// Returns the addresses of the gateways that a client should use, at most [`MAX_ADDRESSES`]:
+/// ready ones, and those that reach no endpoint only if none does.
+fn ready_gateways(gateway: &Gateway, query: &DirectoryQuery) -> Vec<SocketAddrV4> {
+    let own = gateway.settings.address;
     let (peers, now) = (gateway.peers.borrow(), gateway.now());
     let mut gateways: Vec<Ipv4Addr> = peers.serving(now).collect();
     let mut lists_own = gateway.is_ready() && !gateway.is_cut_off();
@@ -63,11 +63,37 @@
         gateways = peers.ready(now).collect();
         lists_own = gateway.is_ready();
     }
-    let mut addresses: Vec<SocketAddrV4> =
-        gateways.into_iter().map(|it| SocketAddrV4::new(it, port)).collect();
     if lists_own {
-        addresses.push(gateway.settings.listen.clients);
+        gateways.push(own);
+    }
+    let region_of = |it: Ipv4Addr| match it == own {
+        true => gateway.settings.region_hash(),
+        false => peers.region_of(it),
+    };
+    for regions in preferred_regions(gateway, query) {
+        let is_inside = |it: &Ipv4Addr| regions.contains(&region_of(*it));
+        if gateways.iter().any(is_inside) {
+            gateways.retain(is_inside);
+            break;
+        }
+    }
+    gateways.truncate(MAX_ADDRESSES);
+    let port = gateway.settings.listen.clients.port();
+    gateways.into_iter().map(|it| SocketAddrV4::new(it, port)).collect()
+}
+
+/// Returns the hashes of the regions whose gateways a client should use, best ones first: its
+/// own region, and the homes of the host's routes. Returns none if there are no such homes, or
+/// if the fleet has only one region.
+fn preferred_regions(gateway: &Gateway, query: &DirectoryQuery) -> Vec<Vec<u32>> {
+    if gateway.settings.region_hash() == 0 {
+        return Vec::new();
     }
-    addresses.truncate(MAX_ADDRESSES);
-    addresses
+    let Some(homes) = gateway.routes.borrow().homes_of_host(&query.host) else {
+        return Vec::new();
+    };
+    let named = Some(&query.region).filter(|it| !it.is_empty());
+    let client = named.or_else(|| gateway.settings.region_of(&query.data_centre));
+    let hash = |it: &Name| hash32(it.as_bytes());
+    vec![client.into_iter().map(hash).collect(), homes.iter().map(hash).collect()]
 }
--- a/crates/gateway/src/error_response.rs
+++ b/crates/gateway/src/error_response.rs
@@ -41,6 +41,8 @@
     Stopping = 3012,
     /// All endpoints for the request are in evacuated data centres.
     Evacuated = 3013,
+    /// No endpoint is available in the regions that the request may not leave.
+    HomeUnavailable = 3014,
     /// The request was sent to an endpoint and its outcome is unknown.
     Unknown = 4001,
     /// The request was sent to an endpoint and the response timed out.
@@ -87,6 +89,7 @@
             | Code::UnknownBuild
             | Code::Stopping
             | Code::Evacuated
+            | Code::HomeUnavailable
             | Code::Crasher => 503,
         }
     }
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -10,10 +10,7 @@
 use mimosaledge_peer::EvacuationSummary;
 use mimosaledge_policy::evacuations::{DataCentre, Evacuation, EvacuationList};
 
-use crate::{
-    cursor::Read, endpoint_handle::EndpointHandle, error_response::Code, gateway::Gateway,
-    store::Record,
-};
+use crate::{cursor::Read, endpoint_handle::EndpointHandle, gateway::Gateway, store::Record};
 
 /// An evacuated data centre, as operators see it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -107,17 +104,6 @@
     gateway.evacuations.borrow().iter().map(state).collect()
 }
 
-/// Returns why no endpoint of a service was found that a request may be sent to.
-pub(crate) fn no_endpoint_code(gateway: &Gateway, service: &str) -> Code {
-    let table = gateway.endpoint_table.borrow();
-    let endpoints = table.of_service(service);
-    let are_evacuated = endpoints.iter().any(|it| it.is_evacuated());
-    match are_evacuated && !endpoints.iter().any(|it| it.is_ready()) {
-        true => Code::Evacuated,
-        false => Code::NoEndpoint,
-    }
-}
-
 fn publish_changes(gateway: &Gateway, changes: &[Evacuation], source: &str) {
     if changes.is_empty() {
         return;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -25,7 +25,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    body_buffer,
+    body_buffer, eligibility,
     gateway::Gateway,
     handover::Handover,
     headers::strip_hop_by_hop_headers,
@@ -71,19 +71,22 @@
 /// Returns whether a request should be handed over: this gateway reaches none of the
 /// endpoints that may serve it, and another gateway may.
 pub(crate) fn is_due(gateway: &Gateway, context: &RequestContext) -> bool {
-    let group = context.group();
     !context.is_forwarded
         && context.remaining_ms(gateway.now()) >= MIN_REMAINING_MS
-        && gateway.endpoint_table.borrow().reach_of(&group).is_cut_off()
-        && !targets(gateway, &group).is_empty()
+        && eligibility::reach(gateway, context).is_cut_off()
+        && !targets(gateway, context, &context.group()).is_empty()
 }
 
-/// Returns the gateways that may serve requests for `group`.
-fn targets(gateway: &Gateway, group: &EndpointGroup) -> Vec<Ipv4Addr> {
+/// Returns the gateways that may serve the request, which is for `group`.
+fn targets(gateway: &Gateway, context: &RequestContext, group: &EndpointGroup) -> Vec<Ipv4Addr> {
     let now = gateway.now();
     let table = gateway.forward_table.borrow();
     let peers = gateway.peers.borrow();
-    peers.handover_targets(group, now).filter(|it| !table.is_paused(*it, group, now)).collect()
+    let targets = peers.handover_targets(group, now);
+    targets
+        .filter(|it| eligibility::may_hand_over(gateway, context, peers.region_of(*it)))
+        .filter(|it| !table.is_paused(*it, group, now))
+        .collect()
 }
 
 /// Hands a request over to another gateway and returns its response; gateways that reach no
@@ -98,7 +101,7 @@
     sends: &mut Sends,
 ) -> Result<Response<ReplyBody>, ForwardError> {
     let group = context.group();
-    let mut peers = targets(gateway, &group);
+    let mut peers = targets(gateway, context, &group);
     let hash = hash64(context.metadata.attempt_id.as_bytes());
     peers.sort_unstable_by_key(|it| hash64(&(hash ^ u64::from(it.to_bits())).to_le_bytes()));
     let mut last_error = ForwardError::NotRun;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `attempts` | sends a request to endpoints, one after the other |
 //! | `body_buffer` | buffers the bodies of responses within a limit |
 //! | `retry_state`, `handover` | what has been tried for one request, also at another gateway |
+//! | `eligibility` | which endpoints and gateways a request may be sent to at all |
 //! | `selection`, `selected` | selects the endpoint for each attempt, or none under overload |
 //! | `budget` | takes retries from the retry budget |
 //! | `silence` | gives up a silent endpoint only for another one |
@@ -53,6 +54,7 @@
 mod dialect;
 mod directory;
 mod drain;
+mod eligibility;
 mod endpoint_handle;
 mod endpoint_limits;
 mod endpoint_list;
@@ -105,7 +107,9 @@
 mod upstream;
 
 pub use crate::{
-    dialect::{Dialect, ForwardMetadata, PromptPart, RequestMetadata, ResponseMetadata},
+    dialect::{
+        Dialect, DirectoryQuery, ForwardMetadata, PromptPart, RequestMetadata, ResponseMetadata,
+    },
     error::{Error, Result},
     error_response::{Code, ErrorResponse},
     http_client::HttpClient,
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -14,6 +14,8 @@
     pub(crate) unreached: Vec<u32>,
     /// Version of the protocol that it speaks.
     pub(crate) version: Version,
+    /// Hash of the name of its region, or 0 if it has named none.
+    pub(crate) region: u32,
     pub(crate) summary: StateSummary,
     /// When the last heartbeat arrived.
     pub(crate) heard_at: Millis,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -125,6 +125,11 @@
         self.known_version(address).unwrap_or_default()
     }
 
+    /// Returns the hash of the name of a gateway's region, or 0 if it has named none.
+    pub(crate) fn region_of(&self, address: Ipv4Addr) -> u32 {
+        self.peers.get(&address).map_or(0, |it| it.region)
+    }
+
     /// Returns the version of the protocol that a gateway spoke in its last heartbeat.
     pub(crate) fn known_version(&self, address: Ipv4Addr) -> Option<Version> {
         self.peers.get(&address).map(|it| it.version)
@@ -277,6 +282,7 @@
         peer.status = status;
         peer.unreached = heartbeat.unreached;
         peer.version = version;
+        peer.region = heartbeat.extension.region;
         peer.summary = heartbeat.summary;
         peer.heard_at = now;
         peer.request_counts = heartbeat.request_counts;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,7 +15,7 @@
 };
 use mimosaledge_net::server::{ReplyBody, read_body};
 use mimosaledge_policy::{
-    EndpointGroup, RetryPolicy,
+    RetryPolicy,
     config::{AuthorizedRequest, Denial},
 };
 use tokio::time::timeout;
@@ -23,6 +23,7 @@
 use crate::{
     attempts,
     dialect::{PromptPart, RequestMetadata},
+    eligibility,
     error_response::{Code, ErrorResponse},
     forward,
     gateway::Gateway,
@@ -93,8 +94,7 @@
         arrived,
         finished: false,
     };
-    let reaches_none =
-        |group: &EndpointGroup| gateway.endpoint_table.borrow().reach_of(group).is_cut_off();
+    let reaches_none = |it: &RequestContext| eligibility::reach(gateway, it).is_cut_off();
     let (mut is_cut_off, mut has_lost) = (false, false);
     let prepared = tokio::select! {
         prepared = prepare(gateway, head, metadata, body, arrived, handover) => prepared,
@@ -102,10 +102,10 @@
     };
     let result = match prepared {
         Ok(context) => {
-            let group = context.group();
-            is_cut_off = reaches_none(&group);
-            let result = run_until_stopped(gateway, Rc::new(context)).await;
-            has_lost = reaches_none(&group);
+            let context = Rc::new(context);
+            is_cut_off = reaches_none(&context);
+            let result = run_until_stopped(gateway, context.clone()).await;
+            has_lost = reaches_none(&context);
             result
         }
         Err(error) => Err(error),
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
-    budget, claims::Claims, endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway,
-    permits, quarantine, request_context::RequestContext, retry_state::RetryState,
-    selected::Selected,
+    budget, claims::Claims, eligibility, endpoint_handle::EndpointHandle, endpoint_table,
+    gateway::Gateway, permits, quarantine, request_context::RequestContext,
+    retry_state::RetryState, selected::Selected,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
@@ -151,7 +151,8 @@
 pub(crate) fn wait_ms(gateway: &Gateway, context: &RequestContext) -> u64 {
     let claims = Claims::new(gateway, context, true);
     let table = gateway.endpoint_table.borrow();
-    let available = table.of_service(&context.service).iter().filter(|it| it.is_available());
+    let available = eligibility::endpoints(gateway, &table, context);
+    let available = available.filter(|it| it.is_available());
     available.map(|it| it.wait_ms(claims.of(it))).min().unwrap_or_default()
 }
 
@@ -173,9 +174,10 @@
     gateway.peers.borrow_mut().update_loads(&mut gateway.loads.borrow_mut(), now);
     let table = gateway.endpoint_table.borrow();
     let loads = gateway.loads.borrow();
-    let known = table.of_service(&context.service);
-    let open: Vec<&Rc<EndpointHandle>> =
-        known.iter().filter(|it| it.is_open(claims.of(it))).collect();
+    let known: Vec<&Rc<EndpointHandle>> =
+        eligibility::endpoints(gateway, &table, context).collect();
+    let open = known.iter().filter(|it| it.is_open(claims.of(it)));
+    let open: Vec<&Rc<EndpointHandle>> = open.copied().collect();
     let allowed = open.iter().filter(|it| retry_state.allows(it)).map(|it| Rc::clone(it));
     let allowed: Vec<Rc<EndpointHandle>> = allowed.collect();
     // Other requests go to the endpoints that this one may not be sent to as well.
--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use mimosaledge_core::Name;
+use mimosaledge_core::{Name, hash::hash32};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -94,6 +94,18 @@
         };
         self.homes.iter().flatten().all(is_home)
     }
+
+    /// Returns whether the request may go to the region whose name has the hash `region`; 0,
+    /// which stands for no region, is none of its homes.
+    pub fn may_enter_hashed(&self, region: u32) -> bool {
+        let is_home = |homes: &Arc<[Name]>| homes.iter().any(|it| hash32(it.as_bytes()) == region);
+        self.homes.iter().flatten().all(|homes| region != 0 && is_home(homes))
+    }
+
+    /// Returns whether the request may not leave certain regions.
+    pub fn has_homes(&self) -> bool {
+        self.homes.iter().any(Option::is_some)
+    }
 }
 
 impl RouteTable {
@@ -148,6 +160,18 @@
         self.slow_starts.get(service)
     }
 
+    /// Returns the regions that are homes of all routes of `host` that have some; `None` if none
+    /// has any.
+    pub fn homes_of_host(&self, host: &str) -> Option<Vec<Name>> {
+        let routes = self.hosts.get(&host.to_ascii_lowercase())?.values();
+        let mut homes = routes.filter_map(|it| self.route_homes.get(&it.name));
+        let first = homes.next()?.to_vec();
+        Some(homes.fold(first, |mut common, homes| {
+            common.retain(|it| homes.contains(it));
+            common
+        }))
+    }
+
     /// Returns the route of `host` whose path prefix is the longest that matches
     /// `path`; a port in `host` is ignored.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
