Bound loads more tightly while endpoints are evacuated

The load bound is relative to the mean of the engines left, which is half as high again with a third of them gone.

Change: the excess over the mean that the bound allows is multiplied by the share of endpoints that is left. With none evacuated nothing changes.

Tests: policy evacuations, load_bound_shrinks_* and prefix_keeps_*; the first does not compile before.

--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -104,6 +104,12 @@
     gateway.evacuations.borrow().iter().map(state).collect()
 }
 
+/// Returns the share of endpoints that are not evacuated, from 0 to 1.
+pub(crate) fn share_left(endpoints: &[&Rc<EndpointHandle>]) -> f64 {
+    let left = endpoints.iter().filter(|it| !it.is_evacuated()).count();
+    left as f64 / endpoints.len().max(1) as f64
+}
+
 fn publish_changes(gateway: &Gateway, changes: &[Evacuation], source: &str) {
     if changes.is_empty() {
         return;
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     budget, claims::Claims, eligibility, endpoint_handle::EndpointHandle, endpoint_table,
-    gateway::Gateway, permits, quarantine, request_context::RequestContext,
+    evacuation, gateway::Gateway, permits, quarantine, request_context::RequestContext,
     retry_state::RetryState, selected::Selected,
 };
 
@@ -170,12 +170,12 @@
     claims: &Claims,
 ) -> Result<Rc<EndpointHandle>, Selection> {
     let now = gateway.now();
-    let policy = &gateway.settings.policy;
     gateway.peers.borrow_mut().update_loads(&mut gateway.loads.borrow_mut(), now);
     let table = gateway.endpoint_table.borrow();
     let loads = gateway.loads.borrow();
     let known: Vec<&Rc<EndpointHandle>> =
         eligibility::endpoints(gateway, &table, context).collect();
+    let policy = &gateway.settings.policy.with_share_left(evacuation::share_left(&known));
     let open = known.iter().filter(|it| it.is_open(claims.of(it)));
     let open: Vec<&Rc<EndpointHandle>> = open.copied().collect();
     let allowed = open.iter().filter(|it| retry_state.allows(it)).map(|it| Rc::clone(it));
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -89,6 +89,19 @@
 }
 
 impl PolicySettings {
+    /// Returns the settings for a service of whose endpoints only the share `left`, from 0 to 1,
+    /// may be used.
+    ///
+    /// The load bound is relative to the mean load of those that are left, which is higher than
+    /// that of all; each may exceed it by less.
+    pub fn with_share_left(self, left: f64) -> PolicySettings {
+        PolicySettings {
+            load_bound: 1.0 + (self.load_bound - 1.0) * left,
+            bound_slack: self.bound_slack * left,
+            ..self
+        }
+    }
+
     /// Checks that all values are in range.
     ///
     /// # Errors
--- a/crates/policy/tests/evacuations.rs
+++ b/crates/policy/tests/evacuations.rs
@@ -3,9 +3,10 @@
 
 use mimosaledge_core::Millis;
 use mimosaledge_policy::{
-    Position,
+    PolicySettings, Position,
     endpoints::RECOVERY_GRACE_MS,
     evacuations::{DataCentre, Evacuation, EvacuationList, Evacuations},
+    placement::{self, Candidate, Prefix},
 };
 
 const NOW: Millis = Millis(1_000_000);
@@ -161,4 +162,29 @@
         assert!(second.settle(NOW + RECOVERY_GRACE_MS).is_empty());
         assert_eq!(second.settle(NOW + 400 + RECOVERY_GRACE_MS), [back("a")]);
     }
+
+    load_bound_shrinks_with_the_endpoints_that_are_left => {
+        let settings = PolicySettings::default();
+        assert_eq!(settings.with_share_left(1.0), settings);
+        let engines = engines_with_load(40, 4.5);
+        let bound = |left| placement::load_bound(&settings.with_share_left(left), &engines);
+        let bounds = [1.0, 2.0 / 3.0, 1.0 / 3.0, 0.0].map(bound);
+        assert!(bounds.is_sorted_by(|a, b| a > b), "{bounds:?}");
+        assert!(bounds.iter().all(|it| *it >= 4.5), "{bounds:?}");
+    }
+
+    // A session's requests stay with their engine while a third of the engines is evacuated.
+    prefix_keeps_its_engine_at_the_mean_load => {
+        let settings = PolicySettings::default().with_share_left(2.0 / 3.0);
+        let engines = engines_with_load(40, 4.5);
+        let prefix = Some(Prefix { key: 7, running: 1.0 });
+        let chosen = |random| placement::choose(&settings, prefix, &engines, random);
+        assert!((1..100).all(|it| chosen(it) == chosen(0)));
+    }
+}
+
+fn engines_with_load(count: u64, load: f64) -> Vec<Candidate> {
+    let engine =
+        |node| Candidate { node, load, is_local: true, failure_rate: 0.0, refusal_rate: 0.0 };
+    (0..count).map(engine).collect()
 }
