--- a/crates/gateway/src/error_response.rs
+++ b/crates/gateway/src/error_response.rs
@@ -39,6 +39,10 @@
     UnknownBuild = 3011,
     /// The gateway shuts down before the request could end.
     Stopping = 3012,
+    /// All endpoints for the request are in evacuated data centres.
+    Evacuated = 3013,
+    /// No endpoint is available in the regions that the request may not leave.
+    HomeUnavailable = 3014,
     /// The request was sent to an endpoint and its outcome is unknown.
     Unknown = 4001,
     /// The request was sent to an endpoint and the response timed out.
@@ -84,6 +88,8 @@
             | Code::TooLate
             | Code::UnknownBuild
             | Code::Stopping
+            | Code::Evacuated
+            | Code::HomeUnavailable
             | Code::Crasher => 503,
         }
     }
