Keep to the rate of endpoints that are cold

Cause: an endpoint that has just started accepts only a few requests per second from all gateways together. Gateways did not know which are cold, and sent to the emptiest ones first: up to 33 requests in a second where 26 were allowed.

Change: policy::slow_start says until when an incarnation counts as cold, from its entry, its novelty, its return after it could not be reached, or the word of another gateway. While it is cold its rate joins the limits that it names, so that no request goes there without a permit. The issuer's rate falls with the share of gateways that it hears. A gateway that finds such an endpoint tells all others at once, and those that join or become ready.

Tests of decoding, rate limits, brittle endpoints, odd entries, builds and the crate peer pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -119,7 +119,7 @@
     // The process may be paused while the connection is opened.
     let build = || {
         let now = gateway.now();
-        let is_allowed = permit.is_usable(now) && context.remaining_ms(now) > 0;
+        let is_allowed = permit.is_usable(handle.is_cold(), now) && context.remaining_ms(now) > 0;
         is_allowed.then(|| {
             context.is_sent.set(true);
             build_request(gateway, context, handle, last_event)
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -14,6 +14,7 @@
     health::{Health, Outcome, Tally},
     load::{MeanDuration, Report},
     permits::Claim,
+    slow_start::{Pace, Warmup},
 };
 
 use crate::{
@@ -32,6 +33,9 @@
     health: RefCell<Health>,
     /// Whether the endpoint has accepted a connection or responded.
     was_reached: Cell<bool>,
+    /// Whether the endpoint was up and could not be reached since.
+    is_lost: Cell<bool>,
+    warmup: Cell<Warmup>,
     clock: Clock,
 }
 
@@ -54,10 +58,18 @@
             node,
             health: RefCell::default(),
             was_reached: Cell::new(false),
+            is_lost: Cell::new(false),
+            warmup: Cell::default(),
             clock,
         }
     }
 
+    /// Counts the endpoint as one that may have just started.
+    pub(crate) fn with_unknown_start(self) -> EndpointHandle {
+        self.warmup.set(Warmup::appeared(self.clock.now()));
+        self
+    }
+
     /// Counts the endpoint as unreachable until a probe has reached it.
     pub(crate) fn doubt(&self) {
         *self.health.borrow_mut() = Health::unproven(self.clock.now());
@@ -89,6 +101,7 @@
         let was_up = health.is_up();
         health.record(policy, outcome, now);
         if was_up != health.is_up() {
+            self.is_lost.set(was_up);
             let id = &self.endpoint.borrow().id;
             spdlog::info!("health: endpoint={id} up={} cause={outcome:?}", health.is_up());
         }
@@ -118,11 +131,48 @@
         self.restrictions.observe_limits(&self.id(), limits, at, now)
     }
 
-    /// Returns what the endpoint accepts from all gateways together.
-    pub(crate) fn limits(&self) -> EndpointLimits {
+    /// Returns the limits that the endpoint has named.
+    pub(crate) fn named_limits(&self) -> EndpointLimits {
         self.restrictions.limits()
     }
 
+    /// Returns what the endpoint accepts from all gateways together: what it has named, and less
+    /// while it is cold.
+    pub(crate) fn limits(&self) -> EndpointLimits {
+        let named = self.named_limits();
+        let warmup = self.warmup();
+        if !warmup.has_pace() {
+            return named;
+        }
+        let Some(cold) = warmup.rate(self.now()) else { return named };
+        let cold = cold as f32;
+        EndpointLimits { rate: Some(named.rate.map_or(cold, |it| it.min(cold))), ..named }
+    }
+
+    /// Returns what is known of the endpoint's start.
+    pub(crate) fn warmup(&self) -> Warmup {
+        self.warmup.get()
+    }
+
+    /// Sets how the endpoints of the service start.
+    pub(crate) fn set_pace(&self, pace: Option<Pace>) {
+        self.update_warmup(|it| it.set_pace(pace));
+    }
+
+    /// Changes what is known of the endpoint's start; returns what `change` does.
+    pub(crate) fn update_warmup<T>(&self, change: impl FnOnce(&mut Warmup) -> T) -> T {
+        let mut warmup = self.warmup.get();
+        let result = change(&mut warmup);
+        self.warmup.set(warmup);
+        result
+    }
+
+    /// Returns whether the endpoint is cold.
+    pub(crate) fn is_cold(&self) -> bool {
+        let warmup = self.warmup();
+        warmup.has_pace() && warmup.is_cold(self.now())
+    }
+
     /// Returns whether the endpoint limits the requests per second.
     pub(crate) fn is_rate_limited(&self) -> bool {
         self.limits().rate.is_some()
@@ -151,7 +201,7 @@
 
     /// Returns the time until the endpoint may accept a request with `claim`, in milliseconds.
     pub(crate) fn wait_ms(&self, claim: Claim) -> u64 {
-        self.restrictions.wait_ms(claim, self.now())
+        self.restrictions.wait_ms(claim, self.limits().needs_permit(), self.now())
     }
 
     /// Returns whether the endpoint may be sent new requests with `claim`.
@@ -234,16 +284,18 @@
     }
 
     /// Probes the endpoint with a connection, if it is down and due for a
-    /// probe.
-    pub(crate) async fn probe(&self, now: Millis) {
+    /// probe; returns whether it was lost and is back.
+    pub(crate) async fn probe(&self, now: Millis) -> bool {
         if !self.health.borrow_mut().take_probe(now) {
-            return;
+            return false;
         }
-        if self.pool.try_connect().await {
-            self.was_reached.set(true);
-            self.health.borrow_mut().mark_reachable();
-            spdlog::info!("health: endpoint={} up=true cause=connected", self.id());
+        if !self.pool.try_connect().await {
+            return false;
         }
+        self.was_reached.set(true);
+        self.health.borrow_mut().mark_reachable();
+        spdlog::info!("health: endpoint={} up=true cause=connected", self.id());
+        self.is_lost.take()
     }
 }
 
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -7,7 +7,7 @@
     endpoints::{Change, Endpoints},
 };
 
-use crate::{gateway::Gateway, reach};
+use crate::{gateway::Gateway, reach, warmup};
 
 /// Time without confirmation by the store or a peer after which the endpoint list may lack
 /// endpoints that others know, in milliseconds.
@@ -135,6 +135,8 @@
             self.settings.address,
             self.clock,
         );
+        warmup::update_paces(self);
+        warmup::apply_early_samples(self);
         self.builds.borrow_mut().record(endpoints.iter(), self.now());
         reach::start_probes(self);
     }
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -149,6 +149,7 @@
         clock: Clock,
     ) {
         let now = clock.now();
+        let is_first = self.handles.is_empty();
         let unreached: Vec<Name> =
             self.unreached_groups().into_keys().filter_map(EndpointGroup::into_service).collect();
         let mut previous = std::mem::take(&mut self.handles);
@@ -165,6 +166,7 @@
                     let mean_duration = self.mean_durations.entry(endpoint.service.clone());
                     let mean_duration = mean_duration.or_default().clone();
                     let new = EndpointHandle::new(endpoint.clone(), local, mean_duration, clock);
+                    let new = if is_first { new } else { new.with_unknown_start() };
                     if unreached.contains(&endpoint.service) {
                         new.doubt();
                     }
@@ -207,6 +209,11 @@
         self.handles.get(&node).cloned()
     }
 
+    /// Returns the handle of a listed incarnation.
+    pub(crate) fn find_listed(&self, endpoint: &Endpoint) -> Option<Rc<EndpointHandle>> {
+        self.find(node_number(endpoint))
+    }
+
     /// Returns the endpoint with this truncated node number.
     pub(crate) fn find_short(&self, short_number: u32) -> Option<&EndpointHandle> {
         self.by_short_number.get(&short_number).map(|it| &**it)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -13,6 +13,7 @@
     gateway::Gateway,
     gossip,
     store::{GatewayEntry, Record, Topic},
+    warmup,
 };
 
 /// Interval between two reads of the endpoint list.
@@ -98,14 +99,17 @@
 /// Applies changes of the endpoint list, or replaces it with a snapshot.
 fn apply_endpoints(gateway: &Gateway, read: Read) {
     let mut changes = Vec::with_capacity(read.records.len());
+    let mut warmups = Vec::new();
     for record in read.records {
         match record {
             Record::Endpoint(change) => changes.push(change),
+            Record::Warmup(it) => warmups.push(it),
             record => log_unreadable(Topic::Endpoints, record),
         }
     }
     if !read.is_snapshot {
         gateway.apply_changes(changes, read.position, read.is_complete);
+        warmup::apply_entries(gateway, &warmups, true);
         return;
     }
     let listed = changes.into_iter().filter_map(|it| it.into_endpoint()).collect();
@@ -115,6 +119,7 @@
     } else {
         gateway.replace_from_store(listed, read.position);
     }
+    warmup::apply_entries(gateway, &warmups, false);
 }
 
 /// Registers this gateway in the store and discovers the others.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -39,6 +39,8 @@
     permit_table::PermitTable,
     settings::{Bounds, Settings},
     store::Store,
+    warmup,
+    warmup_news::WarmupNews,
 };
 
 /// Time without confirmation by the store or a peer after which the
@@ -101,6 +103,8 @@
     pub(crate) loads: Rc<RefCell<Loads>>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) permit_table: RefCell<PermitTable>,
+    /// Cold endpoints that others are to be told of, and those that they have told of.
+    pub(crate) warmup_news: Rc<WarmupNews>,
     /// When the configuration was last known to be current.
     pub(crate) config_confirmed: Cell<Millis>,
     /// When the endpoint list was last known to be current.
@@ -179,6 +183,7 @@
             loads: Rc::default(),
             peers: RefCell::new(peers),
             permit_table: RefCell::new(permit_table),
+            warmup_news: Rc::default(),
             config_confirmed: Cell::new(Millis(0)),
             list_confirmed: Cell::new(Millis(0)),
             list_read: Cell::default(),
@@ -267,6 +272,7 @@
         self.work_times.borrow_mut().retain(&config.routes);
         *self.routes.borrow_mut() = Rc::new(RouteTable::from_config(&config));
         *self.config.borrow_mut() = Some(Rc::new(config));
+        warmup::update_paces(self);
     }
 
     /// Returns the latest known era of the store.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -27,7 +27,7 @@
     gateway::Gateway,
     origins, permits, quarantine,
     status::Status,
-    sync,
+    sync, warmup,
 };
 
 /// Maximum number of other gateways named in a heartbeat of a small fleet.
@@ -38,6 +38,8 @@
 const MAX_OUTCOMES: usize = 8;
 /// Maximum number of endpoints with limits in a heartbeat.
 const MAX_LIMITS: usize = 16;
+/// Maximum number of cold endpoints in a heartbeat.
+const MAX_WARMUPS: usize = 16;
 /// Maximum number of services and builds that a heartbeat names as unreached.
 const MAX_UNREACHED: usize = 16;
 /// Size of the receive buffer, which bounds the payload of a datagram.
@@ -122,6 +124,7 @@
         failure_report: peers.failure_report(now),
         extension: HeartbeatExtension {
             region: gateway.settings.region_hash(),
+            warmups: warmup::own_news(gateway, MAX_WARMUPS),
             ..HeartbeatExtension::default()
         },
         unreached: if gateway.is_cut_off() { Vec::new() } else { unreached_numbers(&table) },
@@ -189,8 +192,10 @@
                 quarantine::learn_refusals(&gateway, *from.ip(), &requests, &parts);
                 continue;
             }
-            // Cold endpoints are not told apart yet.
-            Message::Warmups(_) => continue,
+            Message::Warmups(samples) => {
+                warmup::apply_samples(&gateway, &samples);
+                continue;
+            }
             Message::Limits(samples) => {
                 permits::apply_samples(&gateway, &samples, gateway.now());
                 continue;
@@ -235,12 +240,14 @@
     }
     drop(table);
     permits::apply_samples(gateway, &heartbeat.limits, now);
+    warmup::apply_samples(gateway, &heartbeat.extension.warmups);
     let summary = heartbeat.summary;
     let heard = gateway.peers.borrow_mut().record_heartbeat(from, version, heartbeat, now);
     if heard.has_become_ready {
         permits::send_limits(gateway, from);
     }
     if heard.has_joined || heard.has_become_ready {
+        warmup::send_cold(gateway, from);
         quarantine::send_refusals(gateway, from);
     }
     gateway.apply_summary(&summary);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 //! | `endpoint_handle`, `pool` | connections and health of an endpoint |
 //! | `endpoint_load`, `loads`, `in_flight` | requests at endpoints, and what these report |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
+//! | `warmup`, `warmup_news` | which endpoints are cold, with the other gateways |
 //! | `unlisted_handles` | what is known of endpoints that are not listed for a time |
 //! | `origins` | tells others which build began a stream, and finds it when a client resumes one |
 //! | `build_records` | records in the store which builds count, for gateways that start |
@@ -101,6 +102,8 @@
 mod sync;
 mod unlisted_handles;
 mod upstream;
+mod warmup;
+mod warmup_news;
 
 pub use crate::{
     dialect::{Dialect, ForwardMetadata, PromptPart, RequestMetadata, ResponseMetadata},
@@ -109,5 +112,5 @@
     http_client::HttpClient,
     run::run,
     settings::{Bounds, Listen, Machine, Settings, StoreSettings},
-    store::{GatewayEntry, Page, Record, Store, Topic},
+    store::{EntryWarmup, GatewayEntry, Page, Record, Store, Topic},
 };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,7 +23,9 @@
     pub(crate) peer_bytes: IntCounterVec,
     pub(crate) peer_rejected: IntCounterVec,
     pub(crate) permits: IntCounterVec,
+    pub(crate) cold_denials: IntCounter,
     pub(crate) forwards: IntCounterVec,
+    cold_endpoints: IntGauge,
     version: IntGauge,
     gateways: IntGauge,
 }
@@ -90,6 +92,12 @@
             ),
             &["decision"],
         )?;
+        let cold_denials = IntCounter::new(
+            "mimosaledge_cold_denials_total",
+            "Permits denied for endpoints that are cold.",
+        )?;
+        let cold_endpoints =
+            IntGauge::new("mimosaledge_cold_endpoints", "Endpoints that count as cold now.")?;
         let forwards = IntCounterVec::new(
             Opts::new(
                 "mimosaledge_forwards_total",
@@ -111,6 +119,8 @@
         registry.register(Box::new(peer_rejected.clone()))?;
         registry.register(Box::new(forwards.clone()))?;
         registry.register(Box::new(permits.clone()))?;
+        registry.register(Box::new(cold_denials.clone()))?;
+        registry.register(Box::new(cold_endpoints.clone()))?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(gateways.clone()))?;
         Ok(Metrics {
@@ -125,7 +135,9 @@
             peer_bytes,
             peer_rejected,
             permits,
+            cold_denials,
             forwards,
+            cold_endpoints,
             version,
             gateways,
         })
@@ -137,6 +149,11 @@
         self.gateways.set(gateways as i64);
     }
 
+    /// Sets the number of endpoints that count as cold.
+    pub(crate) fn set_cold_endpoints(&self, count: usize) {
+        self.cold_endpoints.set(count as i64);
+    }
+
     /// Returns the current values of all metrics as text.
     ///
     /// # Errors
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -10,6 +10,9 @@
 /// Time within which a permit must be used, in milliseconds; by then, the endpoint expects
 /// requests that were permitted later.
 const MAX_UNUSED_MS: u64 = 1_000;
+/// Time within which a permit for a cold endpoint must be used, in milliseconds: permits that wait
+/// for connections must not add up.
+const MAX_COLD_UNUSED_MS: u64 = 250;
 
 /// A permit that is returned to its issuer when it is dropped.
 pub(crate) struct Permit {
@@ -53,9 +56,11 @@
         }
     }
 
-    /// Returns whether the request may still be sent.
-    pub(crate) fn is_usable(&self, now: Millis) -> bool {
-        self.obtained.is_none_or(|at| now.since(at) <= MAX_UNUSED_MS)
+    /// Returns whether the request may still be sent; none may be sent without a permit to an
+    /// endpoint that is cold by now.
+    pub(crate) fn is_usable(&self, is_cold: bool, now: Millis) -> bool {
+        let max_unused_ms = if is_cold { MAX_COLD_UNUSED_MS } else { MAX_UNUSED_MS };
+        self.obtained.map_or(!is_cold, |at| now.since(at) <= max_unused_ms)
     }
 
     /// Records that the endpoint has refused the request.
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -11,12 +11,13 @@
 use mimosaledge_policy::{
     concurrency::Holder,
     permits::{Claim, Decision},
+    slow_start,
 };
 use tokio::time::timeout;
 
 use crate::{
     datagrams, dialect::ResponseMetadata, endpoint_handle::EndpointHandle, gateway::Gateway,
-    permit::Permit, request_context::RequestContext,
+    permit::Permit, request_context::RequestContext, warmup,
 };
 
 /// Time to wait for the response to a request for a permit.
@@ -58,13 +59,17 @@
         return Some(if is_returned { issued() } else { Permit::for_once(gateway.now()) });
     };
     gateway.metrics.permits.with_label_values(&["denied"]).inc();
+    if handle.is_cold() {
+        gateway.metrics.cold_denials.inc();
+    }
     spdlog::info!(
         "permit: id={} endpoint={} denied=true claim={claim:?} rate_limit={:?} max_refusals={:?} \
-         issuer={issuer} retry_ms={retry_ms}",
+         cold_ms={} issuer={issuer} retry_ms={retry_ms}",
         context.metadata.attempt_id,
         handle.id(),
         limits.rate,
-        limits.max_refusals
+        limits.max_refusals,
+        handle.warmup().left_ms(handle.now())
     );
     handle.deny_permits_until(claim, gateway.now() + retry_ms);
     None
@@ -78,10 +83,12 @@
     claim: Claim,
     ttl_ms: u64,
 ) -> (u32, Decision) {
-    let limits = handle.to_limit_sample(gateway.now());
+    let now = gateway.now();
+    let limits = handle.to_limit_sample(now);
+    let warmup_ms = u32::try_from(handle.warmup().left_ms(now)).unwrap_or(u32::MAX);
     let (number, response) = gateway.permit_table.borrow_mut().add_pending();
     let request =
-        PermitRequest { number, endpoint: handle.node(), claim, ttl_ms, limits, warmup_ms: 0 };
+        PermitRequest { number, endpoint: handle.node(), claim, ttl_ms, limits, warmup_ms };
     datagrams::send_now(gateway, Message::PermitRequest(request), &[issuer]);
     let decision = timeout(RESPONSE_TIMEOUT, response).await;
     gateway.permit_table.borrow_mut().take_pending(number);
@@ -95,6 +102,9 @@
 pub(crate) fn handle_request(gateway: &Gateway, from: Ipv4Addr, request: &PermitRequest) {
     apply_samples(gateway, &[request.limits], gateway.now());
     let handle = gateway.endpoint_table.borrow().find(request.endpoint);
+    if let Some(handle) = &handle {
+        warmup::apply_sample(handle, request.warmup_ms);
+    }
     let holder = (from, request.number);
     let decision = match handle {
         Some(handle) => decide(gateway, &handle, request.claim, holder, request.ttl_ms),
@@ -164,14 +174,24 @@
             return decision;
         }
     }
-    let Some(rate) = handle.limits().rate else { return Decision::Issued };
-    let decision = table.permits.request(node, rate.into(), claim, from, now);
+    let Some(rate) = issued_rate(gateway, handle, now) else { return Decision::Issued };
+    let from = if handle.is_cold() { from.max(handle.warmup().cold_from()) } else { from };
+    let decision = table.permits.request(node, rate, claim, from, now);
     if decision != Decision::Issued {
         table.concurrency.release(node, holder, false, now);
     }
     decision
 }
 
+/// Returns the rate at which this gateway issues the permits of an endpoint, per second: what it
+/// has named, and less while it is cold.
+fn issued_rate(gateway: &Gateway, handle: &EndpointHandle, now: Millis) -> Option<f64> {
+    let named = handle.named_limits().rate.map(f64::from);
+    let (alive, known) = (gateway.count_gateways(), gateway.count_budget_shares());
+    let cold = handle.warmup().rate(now).map(|it| slow_start::permit_rate(it, alive, known));
+    named.into_iter().chain(cold).reduce(f64::min)
+}
+
 /// Applies the limits that another gateway has observed.
 pub(crate) fn apply_samples(gateway: &Gateway, samples: &[LimitSample], now: Millis) {
     let table = gateway.endpoint_table.borrow();
@@ -204,7 +224,7 @@
 pub(crate) fn send_limits(gateway: &Gateway, to: Ipv4Addr) {
     let now = gateway.now();
     let table = gateway.endpoint_table.borrow();
-    let limited = table.handles().filter(|it| it.limits().needs_permit());
+    let limited = table.handles().filter(|it| it.named_limits().needs_permit());
     let samples: Vec<LimitSample> = limited.map(|it| it.to_limit_sample(now)).collect();
     if !samples.is_empty() {
         datagrams::send_now(gateway, Message::Limits(samples), &[to]);
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -39,8 +39,12 @@
     let now = gateway.now();
     let table = gateway.endpoint_table.borrow();
     for handle in table.handles().filter(|it| !it.is_available()) {
-        let handle = handle.clone();
-        spawn_local(async move { handle.probe(now).await });
+        let (handle, news) = (handle.clone(), gateway.warmup_news.clone());
+        spawn_local(async move {
+            if handle.probe(now).await {
+                news.add(handle);
+            }
+        });
     }
     for service in table.unproven_services() {
         let available: Vec<_> =
--- a/crates/gateway/src/restrictions.rs
+++ b/crates/gateway/src/restrictions.rs
@@ -112,9 +112,10 @@
         }
     }
 
-    /// Returns the time until the endpoint may accept a request with `claim`, in milliseconds.
-    pub(crate) fn wait_ms(&self, claim: Claim, now: Millis) -> u64 {
-        if !self.limits().needs_permit() {
+    /// Returns the time until the endpoint may accept a request with `claim`, which may need a
+    /// permit, in milliseconds.
+    pub(crate) fn wait_ms(&self, claim: Claim, needs_permit: bool, now: Millis) -> u64 {
+        if !needs_permit {
             return self.pause_ms(now);
         }
         self.pause_ms(now).max(self.permits_from(claim).get().since(now))
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,7 +14,7 @@
 use crate::{
     build_records, dialect::Dialect, directory, drain::Phase, follow, follow_config,
     gateway::Gateway, gossip, listener, log_sink::LogSink, metrics::Metrics, permits, reach,
-    request::Source, settings::Settings, socket, store::Store, sync,
+    request::Source, settings::Settings, socket, store::Store, sync, warmup,
 };
 
 /// Interval between two runs of the maintenance tasks.
@@ -85,6 +85,7 @@
     spawn_local(follow::follow_endpoints(gateway.clone()));
     spawn_local(follow::follow_gateways(gateway.clone()));
     spawn_local(build_records::run(gateway.clone()));
+    spawn_local(warmup::run(gateway.clone()));
     spawn_local(gossip::run(gateway.clone(), peer_socket));
     loop {
         tokio::select! {
@@ -171,6 +172,7 @@
 fn run_maintenance(gateway: &Rc<Gateway>) {
     let now = gateway.now();
     permits::run_maintenance(gateway);
+    warmup::run_maintenance(gateway);
     reach::log_changes(gateway);
     gateway.forward_table.borrow_mut().close_expired(now);
     for handle in gateway.endpoint_table.borrow().handles() {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -8,7 +8,7 @@
     RetryPolicy,
     admission::{self, Progress},
     placement::{self, LoadLimit, Placement, Prefix},
-    prefix_cache,
+    prefix_cache, slow_start,
 };
 
 use crate::{
@@ -185,12 +185,14 @@
     let unreported =
         endpoint_table::estimate_unreported(&context.service, &untried, settings, &loads, now);
     let remaining_share = unreported.remaining_share;
-    let candidates =
+    let mut candidates =
         endpoint_table::to_candidates(&untried, settings, &loads, remaining_share, now);
     let limit = batch_slots(gateway, context).map(|slots| LoadLimit {
         limit: admission::load_limit(policy, slots, context.authorized.priority, progress),
         unreported: unreported.at_some_of(allowed_count, open_count),
     });
+    let ramps: Vec<f64> = untried.iter().map(|it| it.warmup().ramp(now)).collect();
+    slow_start::raise_loads(&mut candidates, &ramps, limit.map(|it| it.limit));
     let hash = hash64(context.metadata.attempt_id.as_bytes());
     let running = |key| f64::from(loads.count_with_prefix(key) + 1);
     let prefix = context.prefix.map(|key| Prefix { key, running: running(key) });
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -31,6 +31,17 @@
     pub address: Ipv4Addr,
 }
 
+/// What an entry in the endpoint list says of the endpoint's start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryWarmup {
+    /// The endpoint's identifier.
+    pub id: Name,
+    /// Start time of its process in Unix milliseconds, if it is given.
+    pub started_ms: Option<u64>,
+    /// Time for which it stays cold, in milliseconds.
+    pub left_ms: u64,
+}
+
 /// A decoded record.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Record {
@@ -38,6 +49,8 @@
     Config(Box<FleetConfig>),
     /// A change of the endpoint list.
     Endpoint(Change),
+    /// What the entry before it says of the endpoint's start.
+    Warmup(EntryWarmup),
     /// An entry of a gateway.
     Gateway(GatewayEntry),
     /// A build.
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -181,6 +181,7 @@
             position: Position { era: 1, offset: 440 },
             data_centres: vec![7, 8],
         }),
+        warmups: vec![WarmupSample { endpoint: 7, left_ms: 2_900 }],
     };
     for unreached in [vec![], vec![1, 2]] {
         let heartbeat = Heartbeat {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`work_times`] | how long requests take, for a gateway that shuts down |
 //! | [`version_follower`] | reading the versions of the configuration |
 //! | [`settings`] | settings of these policies |
+//! | [`slow_start`] | endpoints that are cold after their start |
 //! | [`events`] | splitting of event streams |
 
 pub mod admission;
@@ -60,6 +61,7 @@
 pub mod sends;
 pub mod service;
 pub mod settings;
+pub mod slow_start;
 mod sound_parts;
 pub mod stream_origins;
 mod suspect;
--- a/crates/policy/src/reach.rs
+++ b/crates/policy/src/reach.rs
@@ -24,6 +24,11 @@
         self.ready > 0 && self.reachable == 0
     }
 
+    /// Returns whether the gateway reaches less than half of the endpoints.
+    pub fn is_minority(self) -> bool {
+        self.reachable * 2 < self.ready
+    }
+
     /// Returns whether the gateway cannot say that it reaches any of the endpoints: a process
     /// that has just started knows only that they are listed.
     pub fn is_unproven(self) -> bool {
