--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -12,7 +12,7 @@
 const MAX_UNUSED_MS: u64 = 1_000;
 /// Time within which a permit for a cold endpoint must be used, in milliseconds: permits that wait
 /// for connections must not add up.
-const MAX_COLD_UNUSED_MS: u64 = 250;
+const MAX_COLD_UNUSED_MS: u64 = 100;
 
 /// A permit that is returned to its issuer when it is dropped.
 pub(crate) struct Permit {
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -27,6 +27,8 @@
 /// Time after which a gateway that does not issue the permits is asked again, in milliseconds;
 /// the gateways that disagree need it to hear of each other.
 const WRONG_ISSUER_RETRY_MS: u64 = 250;
+/// Longest time after which an issuer that hears too few gateways is asked again, in milliseconds.
+const TOO_FEW_HEARD_RETRY_MS: u64 = 1_000;
 
 /// Obtains the permit for one request to `handle`, if the endpoint accepts it.
 ///
@@ -174,7 +176,14 @@
             return decision;
         }
     }
-    let Some(rate) = issued_rate(gateway, handle, now) else { return Decision::Issued };
+    let rate = match issued_rate(gateway, handle, now) {
+        Ok(Some(rate)) => rate,
+        Ok(None) => return Decision::Issued,
+        Err(denied) => {
+            table.concurrency.release(node, holder, false, now);
+            return denied;
+        }
+    };
     let from = if handle.is_cold() { from.max(handle.warmup().cold_from()) } else { from };
     let decision = table.permits.request(node, rate, claim, from, now);
     if decision != Decision::Issued {
@@ -185,11 +194,21 @@
 
 /// Returns the rate at which this gateway issues the permits of an endpoint, per second: what it
 /// has named, and less while it is cold.
-fn issued_rate(gateway: &Gateway, handle: &EndpointHandle, now: Millis) -> Option<f64> {
+///
+/// # Errors
+///
+/// Returns a denial if this gateway hears too few others to issue permits of a cold endpoint.
+fn issued_rate(
+    gateway: &Gateway,
+    handle: &EndpointHandle,
+    now: Millis,
+) -> Result<Option<f64>, Decision> {
     let named = handle.named_limits().rate.map(f64::from);
+    let Some(cold) = handle.warmup().rate(now) else { return Ok(named) };
     let (alive, known) = (gateway.count_gateways(), gateway.count_budget_shares());
-    let cold = handle.warmup().rate(now).map(|it| slow_start::permit_rate(it, alive, known));
-    named.into_iter().chain(cold).reduce(f64::min)
+    let issued = slow_start::permit_rate(cold, alive, known)
+        .ok_or(Decision::Denied(handle.warmup().left_ms(now).min(TOO_FEW_HEARD_RETRY_MS)))?;
+    Ok(Some(named.map_or(issued, |it| it.min(issued))))
 }
 
 /// Applies the limits that another gateway has observed.
--- a/crates/policy/src/slow_start.rs
+++ b/crates/policy/src/slow_start.rs
@@ -15,6 +15,11 @@
 /// Time by which an endpoint must stay cold longer than was known for that to be news, in
 /// milliseconds.
 const MIN_NEWS_MS: u64 = 1_000;
+/// Share of a cold endpoint's rate for which permits are issued; the rest is left for requests that
+/// are sent some time after their permits were issued.
+const ISSUED_SHARE: f64 = 0.9;
+/// Share of the gateways that an issuer must hear.
+const MIN_HEARD_SHARE: f64 = 1.0 / 3.0;
 /// Load below the limit at which an endpoint is left, so that it is not taken for full.
 const FREE_LOAD: f64 = 1.0;
 
@@ -189,12 +194,15 @@
 }
 
 /// Returns the requests per second for which a gateway issues permits of a cold endpoint that
-/// accepts `rate`, if it hears `alive` of `known` gateways, itself included.
+/// accepts `rate`, if it hears `alive` of `known` gateways, itself included; `None` if it must
+/// not issue any.
 ///
 /// Gateways that do not hear each other ask different issuers. Each issues only the part of the
-/// gateways that it hears, so that their permits do not add up to more than one would issue.
-pub fn permit_rate(rate: f64, alive: usize, known: usize) -> f64 {
-    rate * (alive as f64 / known.max(1) as f64).min(1.0)
+/// gateways that it hears, so that their permits do not add up to more than one would issue, and
+/// there are few of them, so that their first permits do not either.
+pub fn permit_rate(rate: f64, alive: usize, known: usize) -> Option<f64> {
+    let heard_share = (alive as f64 / known.max(1) as f64).min(1.0);
+    (heard_share >= MIN_HEARD_SHARE).then_some(rate * ISSUED_SHARE * heard_share)
 }
 
 /// Raises the load of candidates that are or were cold towards the mean of the others, as far as
