Merge slow starts of endpoints

Conflicts: fields and hooks that both parts add; a data centre that is taken back marks its endpoints as cold. Tests of policy and peer, and evacuations, cold_endpoints, rate_limits, brittle_endpoints and decoding pass.

--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -10,7 +10,9 @@
 use mimosaledge_peer::EvacuationSummary;
 use mimosaledge_policy::evacuations::{DataCentre, Evacuation, EvacuationList};
 
-use crate::{cursor::Read, endpoint_handle::EndpointHandle, gateway::Gateway, store::Record};
+use crate::{
+    cursor::Read, endpoint_handle::EndpointHandle, gateway::Gateway, store::Record, warmup,
+};
 
 /// An evacuated data centre, as operators see it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -117,8 +119,8 @@
     for change in changes {
         log_change(gateway, *change, source);
     }
-    let returned = mark_endpoints(gateway);
-    mark_returned(gateway, &returned);
+    // Endpoints that got no requests may have become cold.
+    warmup::mark_returned(mark_endpoints(gateway).into_iter());
 }
 
 fn log_change(gateway: &Gateway, change: Evacuation, source: &str) {
@@ -134,9 +136,6 @@
     );
 }
 
-/// Takes note of endpoints whose data centre is taken back; they may be cold.
-fn mark_returned(_gateway: &Gateway, _returned: &[Rc<EndpointHandle>]) {}
-
 fn endpoints_of(gateway: &Gateway, data_centre: DataCentre) -> Vec<Rc<EndpointHandle>> {
     let table = gateway.endpoint_table.borrow();
     table.handles().filter(|it| data_centre_of(it) == data_centre).cloned().collect()
