Bound what a gateway holds for its clients

Cause: bodies were limited one by one, chunks kept the 16 KB buffers alive that they were read into, responses counted only while they were received, and neither connections nor the kernel's buffers had a limit, so that a crowd that sends much, or reads nothing, ended the process.

All that is held for a client's connection now comes out of one budget of bytes, 40 % of machine.memory_mb (which nothing has read before). A buffer is written only within a grant. A quarter is open to small holdings only, and a workspace may take half of the rest. Without room the connection gives way that has made no progress for longest, 250 ms at least: one that receives a body by 503 with a time, one that waits or does not read by being closed, one whose request is served not at all. Connections are bounded by machine.max_fds and by the budget, with room for other gateways; the directory, readiness checks and metrics close their oldest connection.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -215,7 +215,7 @@
     };
     let mut headers = gateway.dialect.encode_forward(&context.head.headers, &metadata);
     strip_hop_by_hop_headers(&mut headers);
-    let mut request = Request::new(Full::new(context.body.clone()));
+    let mut request = Request::new(Full::new(context.body.bytes().clone()));
     *request.method_mut() = context.head.method.clone();
     *request.uri_mut() = origin_form(&context.head.uri);
     *request.version_mut() = Version::HTTP_11;
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Method, Response, StatusCode};
 use mimosaledge_core::hash::hash64;
-use mimosaledge_net::server::{ReplyBody, full_body};
+use mimosaledge_net::server::ReplyBody;
 use mimosaledge_policy::{
     RetryPolicy,
     admission::{self, Progress},
@@ -14,7 +14,7 @@
 
 use crate::{
     attempt::{Attempt, AttemptError, OpenResponse, log_failure, log_silence},
-    body_buffer::{self, BodyError},
+    body_buffer::{self, BodyError, MAX_RESPONSE_BYTES},
     budget, continuation,
     error_response::{Code, ErrorResponse},
     forward::{self, ForwardError},
@@ -181,7 +181,7 @@
 }
 
 /// Returns the retry delay for a request that can be accepted after `wait_ms`.
-fn retry_after_ms(attempt_id: &str, wait_ms: u64) -> u64 {
+pub(crate) fn retry_after_ms(attempt_id: &str, wait_ms: u64) -> u64 {
     let jitter_ms = hash64(attempt_id.as_bytes()) % MIN_RETRY_AFTER_MS;
     MIN_RETRY_AFTER_MS.max(wait_ms) + jitter_ms
 }
@@ -241,11 +241,15 @@
         body,
     } = open;
     let handle = in_flight.handle().clone();
-    let collected = timeout(timeout_left, body_buffer::receive(body, &gateway.buffer_total)).await;
+    let collected = timeout(timeout_left, {
+        let grant = context.client.grant();
+        body_buffer::receive(body, MAX_RESPONSE_BYTES, grant, |_| {})
+    })
+    .await;
     let now = gateway.now();
     let collected = collected.map(|it| match it {
-        Ok(bytes)
-            if bytes.is_empty()
+        Ok(body)
+            if body.bytes().is_empty()
                 && framing == Framing::Connection
                 && has_body(context, head.status) =>
         {
@@ -253,14 +257,18 @@
         }
         it => it,
     });
-    let bytes = match collected {
-        Ok(Ok(bytes)) => bytes,
+    let body = match collected {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::NoMemory)) => {
+            let (error, cause) = (AttemptError::Unknown, "no memory for the response");
+            return Err(log_failure(gateway, context, &handle, error, cause));
+        }
         Ok(Err(err)) => {
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
             quarantine::check_for_crash(gateway, context, &handle, Some(received));
             let cause = match err {
-                BodyError::Truncated => "response truncated",
                 BodyError::TooLarge => "response too large",
+                _ => "response truncated",
             };
             return Err(log_failure(gateway, context, &handle, AttemptError::Unknown, cause));
         }
@@ -295,12 +303,12 @@
         context.route().name,
         handle.id(),
         head.status.as_u16(),
-        bytes.len(),
+        body.bytes().len(),
         context.is_forwarded,
         now.since(context.arrived)
     );
     strip_hop_by_hop_headers(&mut head.headers);
-    Ok(Response::from_parts(head, full_body(bytes)))
+    Ok(Response::from_parts(head, body.into_reply()))
 }
 
 /// Returns whether a response with this status may have a body.
--- a/crates/gateway/src/body_buffer.rs
+++ b/crates/gateway/src/body_buffer.rs
@@ -1,76 +1,119 @@
-//! Buffers the bodies of responses, within a limit for all of them together.
+//! Buffers the bodies of requests and responses in memory that was granted for them.
 
-use std::{cell::Cell, rc::Rc};
-
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use bytes::Bytes;
+use http_body::Body;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use mimosaledge_net::server::ReplyBody;
+use mimosaledge_policy::byte_budget::NoRoom;
+
+use crate::client_memory::Grant;
 
-/// Maximum size of one body, in bytes.
-const MAX_BODY_BYTES: usize = 8 << 20;
-/// Size up to which a body does not count towards the total, in bytes, so that small
-/// responses are received whatever other endpoints send.
-const FREE_BYTES: usize = 64 << 10;
-/// Maximum total size of all bodies beyond that, in bytes.
-const MAX_TOTAL_BYTES: usize = 16 << 20;
+/// Maximum size of a response's body, in bytes.
+pub(crate) const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Size up to which a body of known length is allocated at once, and step by which a buffer
+/// grows at least, in bytes.
+const STEP_BYTES: usize = 16 << 10;
 
 /// Why a body was not received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum BodyError {
     /// The connection was lost before the end.
     Truncated,
-    /// The body, or all bodies together, are too large.
+    /// The body is larger than its limit.
     TooLarge,
+    /// There is no memory for it.
+    NoMemory,
 }
 
-/// The total size of the bodies that are being received.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct BufferTotal {
-    bytes: Rc<Cell<usize>>,
+impl From<NoRoom> for BodyError {
+    fn from(NoRoom: NoRoom) -> BodyError {
+        BodyError::NoMemory
+    }
 }
 
-/// The part of the total that one body takes, until it is dropped.
-struct Share {
-    total: BufferTotal,
-    bytes: usize,
+/// A body, and the grant of its memory.
+#[derive(Debug)]
+pub(crate) struct HeldBody {
+    bytes: Bytes,
+    grant: Grant,
 }
 
-impl Share {
-    /// Grows the share to that of a body of `length` bytes; returns whether the total
-    /// allows it.
-    fn grow(&mut self, length: usize) -> bool {
-        let bytes = length.saturating_sub(FREE_BYTES);
-        let total = self.total.bytes.get() - self.bytes + bytes;
-        let is_allowed = bytes == 0 || total <= MAX_TOTAL_BYTES;
-        if is_allowed {
-            self.total.bytes.set(total);
-            self.bytes = bytes;
-        }
-        is_allowed
+impl HeldBody {
+    /// Returns the body; whoever keeps it for longer than the grant has to copy it.
+    pub(crate) fn bytes(&self) -> &Bytes {
+        &self.bytes
     }
+
+    /// Returns the body of a response, which keeps the grant.
+    pub(crate) fn into_reply(self) -> ReplyBody {
+        let HeldBody { bytes, grant } = self;
+        Box::pin(Full::new(bytes).map_err(move |never| {
+            let _held = &grant;
+            match never {}
+        }))
+    }
+}
+
+/// A buffer that never exceeds its grant.
+struct Buffer {
+    grant: Grant,
+    bytes: Vec<u8>,
+    max_bytes: usize,
 }
 
-impl Drop for Share {
-    fn drop(&mut self) {
-        self.total.bytes.set(self.total.bytes.get() - self.bytes);
+impl Buffer {
+    fn new(grant: Grant, max_bytes: usize) -> Buffer {
+        Buffer { grant, bytes: Vec::new(), max_bytes }
+    }
+
+    /// Appends a copy of `data`, since what was received shares a larger buffer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body becomes too large, or there is no memory for it.
+    fn push(&mut self, data: &[u8]) -> Result<(), BodyError> {
+        let length = self.bytes.len() + data.len();
+        if length > self.max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        if length > self.bytes.capacity() {
+            let grown = self.bytes.capacity() + self.bytes.capacity() / 4 + STEP_BYTES;
+            let capacity = grown.min(self.max_bytes).max(length);
+            self.grant.grow_to(capacity)?;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    fn into_body(self) -> HeldBody {
+        HeldBody { bytes: self.bytes.into(), grant: self.grant }
     }
 }
 
-/// Receives a body.
+/// Receives a body of at most `max_bytes`; `on_data` is told of each part's size.
 ///
 /// # Errors
 ///
-/// Returns an error if the body is incomplete or too large.
-pub(crate) async fn receive(mut body: Incoming, total: &BufferTotal) -> Result<Bytes, BodyError> {
-    let mut share = Share { total: total.clone(), bytes: 0 };
-    let mut received = BytesMut::new();
+/// Returns an error if the body is incomplete, too large or there is no memory for it; at once
+/// if it is announced as too large.
+pub(crate) async fn receive(
+    mut body: Incoming,
+    max_bytes: usize,
+    grant: Grant,
+    on_data: impl Fn(usize),
+) -> Result<HeldBody, BodyError> {
+    let size = body.size_hint();
+    if size.lower() > max_bytes as u64 {
+        return Err(BodyError::TooLarge);
+    }
+    let announced = size.exact().and_then(|it| usize::try_from(it).ok());
+    let mut buffer = Buffer::new(grant, announced.unwrap_or(max_bytes).min(max_bytes));
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| BodyError::Truncated)?.into_data() else { continue };
-        let length = received.len() + data.len();
-        if length > MAX_BODY_BYTES || !share.grow(length) {
-            return Err(BodyError::TooLarge);
-        }
-        received.extend_from_slice(&data);
+        on_data(data.len());
+        buffer.push(&data)?;
     }
-    Ok(received.freeze())
+    Ok(buffer.into_body())
 }
--- a/crates/gateway/src/error_response.rs
+++ b/crates/gateway/src/error_response.rs
@@ -39,6 +39,8 @@
     UnknownBuild = 3011,
     /// The gateway shuts down before the request could end.
     Stopping = 3012,
+    /// The gateway has no memory left for the request.
+    NoMemory = 3013,
     /// The request was sent to an endpoint and its outcome is unknown.
     Unknown = 4001,
     /// The request was sent to an endpoint and the response timed out.
@@ -84,6 +86,7 @@
             | Code::TooLate
             | Code::UnknownBuild
             | Code::Stopping
+            | Code::NoMemory
             | Code::Crasher => 503,
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -20,12 +20,12 @@
     http::response,
 };
 use mimosaledge_core::hash::hash64;
-use mimosaledge_net::server::{Aborted, ReplyBody, full_body};
+use mimosaledge_net::server::{Aborted, ReplyBody};
 use mimosaledge_policy::{EndpointGroup, sends::Sends};
 use tokio::time::timeout;
 
 use crate::{
-    body_buffer,
+    body_buffer::{self, MAX_RESPONSE_BYTES},
     gateway::Gateway,
     handover::Handover,
     headers::strip_hop_by_hop_headers,
@@ -198,7 +198,7 @@
     sends: Sends,
     peer: Ipv4Addr,
 ) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(context.body.clone()));
+    let mut request = Request::new(Full::new(context.body.bytes().clone()));
     *request.method_mut() = context.head.method.clone();
     *request.uri_mut() = context.head.uri.clone();
     *request.version_mut() = Version::HTTP_11;
@@ -255,11 +255,12 @@
         pool: &Pool,
     ) -> Result<Response<ReplyBody>, ForwardError> {
         let wait = remaining(&self.gateway, &self.context);
-        let received = body_buffer::receive(self.body, &self.gateway.buffer_total);
+        let grant = self.context.client.grant();
+        let received = body_buffer::receive(self.body, MAX_RESPONSE_BYTES, grant, |_| {});
         match timeout(wait, received).await {
-            Ok(Ok(bytes)) => {
+            Ok(Ok(body)) => {
                 pool.release(self.connection);
-                Ok(Response::from_parts(head, full_body(bytes)))
+                Ok(Response::from_parts(head, body.into_reply()))
             }
             Ok(Err(_)) => Err(ForwardError::Unknown),
             Err(_) => Err(ForwardError::Timeout),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,13 +27,14 @@
 };
 
 use crate::{
-    body_buffer::BufferTotal,
     clock::Clock,
     dialect::Dialect,
     drain::Drain,
     endpoint_table::EndpointTable,
     forward_table::ForwardTable,
     loads::Loads,
+    memory::Memory,
+    memory_report::MemoryReport,
     metrics::Metrics,
     peers::Peers,
     permit_table::PermitTable,
@@ -79,7 +80,9 @@
     pub(crate) crashing_parts: RefCell<CrashingParts>,
     /// Times that requests take, by route.
     pub(crate) work_times: RefCell<WorkTimes>,
-    pub(crate) buffer_total: BufferTotal,
+    /// What is held for clients.
+    pub(crate) memory: Rc<Memory>,
+    pub(crate) memory_report: MemoryReport,
     pub(crate) cached_prefixes: RefCell<CachedPrefixes>,
     /// Builds that endpoints have had lately.
     pub(crate) builds: RefCell<Builds>,
@@ -145,6 +148,7 @@
             true => RetryBudget::new(limit),
             false => RetryBudget::after_restart(limit, clock.now()),
         };
+        let limits = settings.memory_limits();
         let bounds = Cell::new(settings.bounds);
         let builds = RefCell::new(Builds::new(settings.first_start));
         let peers = Peers::new(&settings, clock.now());
@@ -165,7 +169,8 @@
             quarantine: RefCell::new(Quarantine::with_retention(CRASH_RETENTION_MS)),
             crashing_parts: RefCell::default(),
             work_times: RefCell::default(),
-            buffer_total: BufferTotal::default(),
+            memory: Rc::new(Memory::new(limits, clock)),
+            memory_report: MemoryReport::default(),
             cached_prefixes: RefCell::default(),
             builds,
             stream_origins: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,9 @@
 //! | `request_context` | an authorized request, for the modules below |
 //! | `attempt` | one attempt: sends a request to one endpoint |
 //! | `attempts` | sends a request to endpoints, one after the other |
-//! | `body_buffer` | buffers the bodies of responses within a limit |
+//! | `body_buffer` | buffers the bodies of requests and responses in granted memory |
+//! | `memory`, `client_memory`, `memory_report` | the memory that clients take, and who gives way |
+//! | `client_body` | gives a response to a client as it reads it |
 //! | `retry_state`, `handover` | what has been tried for one request, also at another gateway |
 //! | `selection`, `selected` | selects the endpoint for each attempt, or none under overload |
 //! | `budget` | takes retries from the retry budget |
@@ -44,6 +46,8 @@
 mod budget;
 mod build_records;
 mod claims;
+mod client_body;
+mod client_memory;
 mod clock;
 mod continuation;
 mod crash_news;
@@ -75,6 +79,8 @@
 mod listener;
 mod loads;
 mod log_sink;
+mod memory;
+mod memory_report;
 mod metrics;
 mod origins;
 mod peer;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -18,6 +18,8 @@
 };
 
 use crate::{
+    client_body::ClientBody,
+    client_memory::ClientMemory,
     gateway::Gateway,
     request::{self, Source},
     socket,
@@ -72,7 +74,10 @@
         }
         Ok((stream, _)) => match socket::set_options(&stream) {
             Ok(()) => {
-                spawn_local(serve_connection(gateway.clone(), stream, source));
+                // Without room for it, the connection is closed before anything is read.
+                if let Ok(client) = ClientMemory::open(&gateway.memory, source == Source::Gateway) {
+                    spawn_local(serve_connection(gateway.clone(), stream, source, client));
+                }
             }
             Err(err) => spdlog::warn!(
                 "listener: cannot set socket options, connection dropped, cause={err}"
@@ -92,12 +97,31 @@
     }
 }
 
-/// Serves one connection; a graceful shutdown closes it after the request in
-/// flight, which may not have been read yet.
-async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream, source: Source) {
+/// Serves one connection, until it ends or has to give way to others.
+async fn serve_connection(
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    source: Source,
+    client: Rc<ClientMemory>,
+) {
     let _guard = gateway.drain.count_connection();
+    tokio::select! {
+        () = serve_requests(&gateway, stream, source, &client) => {}
+        () = client.wait_for_close() => {}
+    }
+}
+
+/// Serves the requests of one connection; a graceful shutdown closes it after the request in
+/// flight, which may not have been read yet.
+async fn serve_requests(
+    gateway: &Rc<Gateway>,
+    stream: TcpStream,
+    source: Source,
+    client: &Rc<ClientMemory>,
+) {
     let limits = gateway.routes.borrow().limits();
-    let service = service_fn(|request| handle_request(gateway.clone(), request, source));
+    let service =
+        service_fn(|request| handle_request(gateway.clone(), request, source, client.clone()));
     let connection = http1::Builder::new()
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .timer(TokioTimer::new())
@@ -119,10 +143,11 @@
     gateway: Rc<Gateway>,
     incoming: Request<Incoming>,
     source: Source,
+    client: Rc<ClientMemory>,
 ) -> Result<Response<ReplyBody>, Infallible> {
-    let mut response = request::serve(&gateway, incoming, source).await;
-    if gateway.drain.is_stopping() {
+    let mut response = request::serve(&gateway, incoming, source, &client).await;
+    if gateway.drain.is_stopping() || client.is_last_request() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    Ok(response.map(|it| Box::pin(ClientBody::new(it, client)) as ReplyBody))
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,9 @@
     pub(crate) peer_rejected: IntCounterVec,
     pub(crate) permits: IntCounterVec,
     pub(crate) forwards: IntCounterVec,
+    pub(crate) memory_decisions: IntCounterVec,
+    pub(crate) held_bytes: IntGauge,
+    pub(crate) client_connections: IntGauge,
     version: IntGauge,
     gateways: IntGauge,
 }
@@ -97,6 +100,16 @@
             ),
             &["outcome"],
         )?;
+        let memory_decisions = IntCounterVec::new(
+            Opts::new(
+                "mimosaledge_memory_decisions_total",
+                "What was refused or given up for want of memory, by decision.",
+            ),
+            &["decision"],
+        )?;
+        let held_bytes = IntGauge::new("mimosaledge_held_bytes", "Bytes held for clients.")?;
+        let client_connections =
+            IntGauge::new("mimosaledge_client_connections", "Connections of clients.")?;
         let version =
             IntGauge::new("mimosaledge_config_version", "Version of the configuration in force.")?;
         let gateways = IntGauge::new("mimosaledge_gateways", "Gateways alive, this one included.")?;
@@ -111,6 +124,9 @@
         registry.register(Box::new(peer_rejected.clone()))?;
         registry.register(Box::new(forwards.clone()))?;
         registry.register(Box::new(permits.clone()))?;
+        registry.register(Box::new(memory_decisions.clone()))?;
+        registry.register(Box::new(held_bytes.clone()))?;
+        registry.register(Box::new(client_connections.clone()))?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(gateways.clone()))?;
         Ok(Metrics {
@@ -126,6 +142,9 @@
             peer_rejected,
             permits,
             forwards,
+            memory_decisions,
+            held_bytes,
+            client_connections,
             version,
             gateways,
         })
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,22 +6,25 @@
 use hyper::{
     Request, Response,
     body::Incoming,
-    header::{HOST, HeaderValue},
+    header::{HOST, HeaderName, HeaderValue},
     http::request::Parts,
 };
 use mimosaledge_core::{
     Millis, Name,
     hash::{hash64, rendezvous_score},
 };
-use mimosaledge_net::server::{ReplyBody, read_body};
+use mimosaledge_net::server::ReplyBody;
 use mimosaledge_policy::{
     EndpointGroup, RetryPolicy,
+    byte_budget::Stage,
     config::{AuthorizedRequest, Denial},
 };
 use tokio::time::timeout;
 
 use crate::{
     attempts,
+    body_buffer::{self, BodyError, HeldBody},
+    client_memory::{ClientMemory, Grant},
     dialect::{PromptPart, RequestMetadata},
     error_response::{Code, ErrorResponse},
     forward,
@@ -34,6 +37,8 @@
 /// Retry delay for clients while the gateway has no configuration, an outdated
 /// one, or no service for the route, in milliseconds.
 const CONFIG_RETRY_MS: u64 = 300;
+/// Memory that an endpoint's connection takes while a request is served, in bytes.
+const WORK_BYTES: usize = 32 << 10;
 
 /// Who has sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,8 +79,10 @@
     gateway: &Rc<Gateway>,
     incoming: Request<Incoming>,
     source: Source,
+    client: &Rc<ClientMemory>,
 ) -> Response<ReplyBody> {
     let arrived = gateway.now();
+    client.set_stage(Stage::Receiving);
     let (mut head, body) = incoming.into_parts();
     let mut metadata = gateway.dialect.decode_request(&head);
     let handover = match source {
@@ -97,7 +104,7 @@
         |group: &EndpointGroup| gateway.endpoint_table.borrow().reach_of(group).is_cut_off();
     let (mut is_cut_off, mut has_lost) = (false, false);
     let prepared = tokio::select! {
-        prepared = prepare(gateway, head, metadata, body, arrived, handover) => prepared,
+        prepared = prepare(gateway, client, head, metadata, body, arrived, handover) => prepared,
         () = gateway.drain.wait_for_answering() => Err(attempts::stopping_error(&attempt_id)),
     };
     let result = match prepared {
@@ -156,6 +163,7 @@
 /// Authorizes a request, reads its body and selects its service.
 async fn prepare(
     gateway: &Gateway,
+    client: &Rc<ClientMemory>,
     head: Parts,
     metadata: RequestMetadata,
     body: Incoming,
@@ -164,13 +172,15 @@
 ) -> Result<RequestContext, ErrorResponse> {
     let authorized = authorize(gateway, &head, &metadata)?;
     let timeout_ms = metadata.deadline_ms.unwrap_or(u64::MAX).min(authorized.route.timeout_ms);
-    let limit = gateway.routes.borrow().limits().max_body_bytes;
-    let body = match timeout(Duration::from_millis(timeout_ms), read_body(body, limit)).await {
+    client.set_workspace(authorized.workspace.clone());
+    let memory_error = || memory_error(gateway, &metadata.attempt_id);
+    let memory = grant_work(client, &head).ok_or_else(memory_error)?;
+    let receiving = receive_body(gateway, client, body);
+    let body = match timeout(Duration::from_millis(timeout_ms), receiving).await {
         Ok(Ok(body)) => body,
-        Ok(Err(err)) if err.kind() == std::io::ErrorKind::InvalidData => {
-            return Err(ErrorResponse::from_code(Code::TooLarge));
-        }
-        Ok(Err(_)) => return Err(ErrorResponse::from_code(Code::BadRequest)),
+        Ok(Err(BodyError::TooLarge)) => return Err(ErrorResponse::from_code(Code::TooLarge)),
+        Ok(Err(BodyError::Truncated)) => return Err(ErrorResponse::from_code(Code::BadRequest)),
+        Ok(Err(BodyError::NoMemory)) => return Err(memory_error()),
         Err(_) => return Err(ErrorResponse::from_code(Code::TooLate)),
     };
     let prefix = authorized.route.sticky.then(|| prefix_key(&metadata.prompt)).flatten();
@@ -191,7 +201,7 @@
             (target.service, Some(target.build))
         }
     };
-    let fingerprint = fingerprint(&head, &metadata, &body);
+    let fingerprint = fingerprint(&head, &metadata, body.bytes());
     let shared_parts = shared_parts(&metadata.prompt);
     let size = gateway.permit_table.borrow_mut().record_size(&service, metadata.max_tokens);
     let deadline = arrived + timeout_ms;
@@ -199,6 +209,8 @@
         head,
         metadata,
         body,
+        client: client.clone(),
+        _memory: memory,
         authorized,
         service,
         build,
@@ -215,6 +227,43 @@
     })
 }
 
+/// Returns a grant for the head of a request and for the connection to its endpoint.
+fn grant_work(client: &Rc<ClientMemory>, head: &Parts) -> Option<Grant> {
+    let header_bytes =
+        |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len();
+    // What is sent to the endpoint is a second copy.
+    let head_bytes = 2 * head.headers.iter().map(header_bytes).sum::<usize>();
+    let mut grant = client.grant();
+    grant.grow_to(head_bytes + WORK_BYTES).ok()?;
+    Some(grant)
+}
+
+/// Receives the body of a request, unless others need the memory and its client is slow.
+///
+/// # Errors
+///
+/// Returns an error if the body is incomplete, too large, or there is no memory for it.
+async fn receive_body(
+    gateway: &Gateway,
+    client: &Rc<ClientMemory>,
+    body: Incoming,
+) -> Result<HeldBody, BodyError> {
+    let limit = gateway.routes.borrow().limits().max_body_bytes;
+    let record = |bytes| client.record_progress(bytes);
+    let received = tokio::select! {
+        received = body_buffer::receive(body, limit, client.grant(), record) => received?,
+        () = client.wait_for_yield() => return Err(BodyError::NoMemory),
+    };
+    let has_to_yield = client.set_stage(Stage::Working);
+    if has_to_yield { Err(BodyError::NoMemory) } else { Ok(received) }
+}
+
+/// Returns the error response for a request that there is no memory for.
+fn memory_error(gateway: &Gateway, attempt_id: &str) -> ErrorResponse {
+    let wait_ms = gateway.settings.policy.stall_ms;
+    ErrorResponse::with_retry_after(Code::NoMemory, attempts::retry_after_ms(attempt_id, wait_ms))
+}
+
 /// Authorizes a request under the active configuration.
 ///
 /// # Errors
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -1,22 +1,29 @@
 //! An authorized request, as the modules that serve it see it.
 
-use std::cell::Cell;
+use std::{cell::Cell, rc::Rc};
 
-use bytes::Bytes;
 use hyper::http::request::Parts;
 use mimosaledge_core::{Millis, Name};
 use mimosaledge_policy::{
     EndpointGroup, Route, config::AuthorizedRequest, permits::RequestSize, sends::Sends,
 };
 
-use crate::dialect::RequestMetadata;
+use crate::{
+    body_buffer::HeldBody,
+    client_memory::{ClientMemory, Grant},
+    dialect::RequestMetadata,
+};
 
 /// An authorized request with its body and routing data.
 #[derive(Debug)]
 pub(crate) struct RequestContext {
     pub(crate) head: Parts,
     pub(crate) metadata: RequestMetadata,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
+    /// The memory of the client's connection.
+    pub(crate) client: Rc<ClientMemory>,
+    /// Memory for serving the request.
+    pub(crate) _memory: Grant,
     pub(crate) authorized: AuthorizedRequest,
     /// The service, selected from those of the route.
     pub(crate) service: Name,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -134,16 +134,17 @@
         .wrap_err("cannot listen for requests of other gateways")?;
     let metrics_listener = socket::listen(std::net::SocketAddrV4::new(address, listen.metrics))
         .wrap_err("cannot listen for metrics")?;
+    let max_connections = gateway.memory.limits().other_connections;
     let state = gateway.clone();
-    spawn_local(server::serve(ready_listener, move |req| {
+    spawn_local(server::serve_up_to(max_connections, ready_listener, move |req| {
         directory::check_readiness(state.clone(), req)
     }));
     let state = gateway.clone();
-    spawn_local(server::serve(directory_listener, move |req| {
+    spawn_local(server::serve_up_to(max_connections, directory_listener, move |req| {
         directory::serve_directory(state.clone(), req)
     }));
     let state = gateway.clone();
-    spawn_local(server::serve(metrics_listener, move |req| {
+    spawn_local(server::serve_up_to(max_connections, metrics_listener, move |req| {
         directory::serve_metrics(state.clone(), req)
     }));
     spawn_local(sync::serve_syncs(gateway.clone(), sync_listener));
@@ -171,6 +172,7 @@
 fn run_maintenance(gateway: &Rc<Gateway>) {
     let now = gateway.now();
     permits::run_maintenance(gateway);
+    gateway.memory_report.update(gateway);
     reach::log_changes(gateway);
     gateway.forward_table.borrow_mut().close_expired(now);
     for handle in gateway.endpoint_table.borrow().handles() {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -9,7 +9,7 @@
 
 use eyre::{Context, Report, Result, bail, ensure, eyre};
 use mimosaledge_core::{Name, hash::hash32};
-use mimosaledge_policy::{PolicySettings, retry_budget::RetryLimit};
+use mimosaledge_policy::{PolicySettings, memory_limits::MemoryLimits, retry_budget::RetryLimit};
 use serde::Deserialize;
 
 /// Environment variable with the memory of the process, in MB.
@@ -142,6 +142,11 @@
         Ok(())
     }
 
+    /// Returns the limits on what is held for clients.
+    pub(crate) fn memory_limits(&self) -> MemoryLimits {
+        MemoryLimits::derive(&self.policy, self.machine.memory_mb, self.machine.max_fds)
+    }
+
     /// Returns the limit on retries.
     pub(crate) fn to_retry_limit(&self) -> RetryLimit {
         RetryLimit {
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -18,6 +18,8 @@
 /// TCP user timeout: the time after which a connection is closed if sent data is not
 /// acknowledged; longer than a sound endpoint is silent.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Size of the kernel's buffers for a connection, in bytes, which it does not adapt then.
+const BUFFER_BYTES: u32 = 32 << 10;
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -41,6 +43,7 @@
     address: SocketAddrV4,
 ) -> io::Result<TcpStream> {
     let socket = TcpSocket::new_v4()?;
+    limit_buffers(&socket);
     if let Some(local) = local {
         socket.bind((local, 0).into())?;
     }
@@ -53,10 +56,18 @@
     SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
 
+/// Bounds the kernel's buffers of a connection, or of those that a socket accepts.
+fn limit_buffers(socket: &TcpSocket) {
+    // A system that refuses this has bounds of its own.
+    let _ = socket.set_recv_buffer_size(BUFFER_BYTES);
+    let _ = socket.set_send_buffer_size(BUFFER_BYTES);
+}
+
 /// Opens a listening socket.
 pub(crate) fn listen(address: SocketAddrV4) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    limit_buffers(&socket);
     socket.bind(SocketAddr::V4(address))?;
     socket.listen(BACKLOG)
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,6 +1,7 @@
 //! A single-threaded HTTP/1.1 server.
 
 use std::{
+    collections::VecDeque,
     convert::Infallible,
     fmt,
     future::Future,
@@ -22,7 +23,7 @@
 use tokio::{
     net::TcpListener,
     sync::mpsc,
-    task::JoinSet,
+    task::{AbortHandle, JoinSet},
     time::{self, Duration},
 };
 
@@ -101,11 +102,22 @@
 /// Dropping the returned future stops the server and closes every open
 /// connection.
 pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<ReplyBody>> + 'static,
+{
+    serve_up_to(usize::MAX, listener, handler).await;
+}
+
+/// Does what [`serve`] does, on at most `max_connections` connections; the oldest one is closed
+/// for a new one beyond that.
+pub async fn serve_up_to<H, F>(max_connections: usize, listener: TcpListener, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<ReplyBody>> + 'static,
 {
     let mut connections = JoinSet::new();
+    let mut handles: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -115,7 +127,15 @@
             Ok((stream, _)) => {
                 // Disables Nagle's algorithm, which would delay small chunks of a stream.
                 let _ = stream.set_nodelay(true);
-                connections.spawn_local(serve_connection(stream, handler.clone()));
+                let is_full = connections.len() >= max_connections;
+                if is_full || handles.len() > 2 * connections.len() {
+                    handles.retain(|it| !it.is_finished());
+                }
+                if is_full && let Some(oldest) = handles.pop_front() {
+                    oldest.abort();
+                }
+                let serving = serve_connection(stream, handler.clone());
+                handles.push_back(connections.spawn_local(serving));
             }
             Err(_) => time::sleep(ACCEPT_RETRY_DELAY).await,
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`endpoint_group`], [`reach`] | whether a gateway reaches a service, or one build of it |
 //! | [`crashing_parts`] | detection of prompt parts that crash engines |
 //! | `suspect`, `crash`, `crash_stage`, `crash_evidence` | the crashes of a part, and what they say |
+//! | [`byte_budget`], [`memory_limits`] | what is held for clients, and who gives way when there is no room |
 //! | [`work_times`] | how long requests take, for a gateway that shuts down |
 //! | [`version_follower`] | reading the versions of the configuration |
 //! | [`settings`] | settings of these policies |
@@ -29,6 +30,7 @@
 pub mod arrival_rate;
 mod build_id;
 pub mod builds;
+pub mod byte_budget;
 pub mod concurrency;
 pub mod config;
 mod config_extension;
@@ -49,6 +51,7 @@
 pub mod limits;
 pub mod load;
 pub mod membership;
+pub mod memory_limits;
 pub mod origin_search;
 pub mod permits;
 pub mod placement;
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -59,6 +59,13 @@
     pub list_readers: usize,
     /// Maximum number of other gateways that are all sent a heartbeat in each round.
     pub mesh_peers: usize,
+    /// Share of the VM's memory that may be held for clients.
+    pub held_share: f64,
+    /// Share of the bytes in large holdings that one workspace may take; 1 is off.
+    pub workspace_share: f64,
+    /// Time without progress after which a client may have to give way to others, in
+    /// milliseconds.
+    pub stall_ms: u64,
 }
 
 impl Default for PolicySettings {
@@ -84,6 +91,9 @@
             quarantine: true,
             list_readers: 2,
             mesh_peers: 100,
+            held_share: 0.4,
+            workspace_share: 0.5,
+            stall_ms: 250,
         }
     }
 }
@@ -107,6 +117,9 @@
             ("down_timeouts", self.down_timeouts.into(), 1.0, 1_000.0),
             ("list_readers", self.list_readers as f64, 1.0, 100.0),
             ("mesh_peers", self.mesh_peers as f64, 1.0, 1_000.0),
+            ("held_share", self.held_share, 0.01, 0.9),
+            ("workspace_share", self.workspace_share, 0.01, 1.0),
+            ("stall_ms", self.stall_ms as f64, 1.0, 60_000.0),
         ];
         let out_of_range =
             ranges.into_iter().find(|(_, value, min, max)| !(*min..=*max).contains(value));
