--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -239,7 +239,7 @@
     let mut client = context.head.headers.clone();
     strip_hop_by_hop_headers(&mut client, &*gateway.dialect);
     let headers = gateway.dialect.encode_forward(client, &metadata);
-    let mut request = Request::new(Full::new(context.body.clone()));
+    let mut request = Request::new(Full::new(context.body.bytes().clone()));
     *request.method_mut() = context.head.method.clone();
     *request.uri_mut() = origin_form(&context.head.uri);
     *request.version_mut() = Version::HTTP_11;
--- a/crates/gateway/src/error_response.rs
+++ b/crates/gateway/src/error_response.rs
@@ -43,6 +43,8 @@
     Evacuated = 3013,
     /// No endpoint is available in the regions that the request may not leave.
     HomeUnavailable = 3014,
+    /// The gateway has no memory left for the request.
+    NoMemory = 3015,
     /// The request was sent to an endpoint and its outcome is unknown.
     Unknown = 4001,
     /// The request was sent to an endpoint and the response timed out.
@@ -90,6 +92,7 @@
             | Code::Stopping
             | Code::Evacuated
             | Code::HomeUnavailable
+            | Code::NoMemory
             | Code::Crasher => 503,
         }
     }
