Spread requests by the age of what is known, and pass over slow endpoints

Cause: a gateway weighed each endpoint's failure rate at 20 requests. Where some requests fail at any endpoint, chance alone gives the endpoints rates that differ by 0.05, which is more than any load; all gateways know the same tallies, so that all preferred the same endpoint. What endpoints say of their speed was not read, and a service without load reports was chosen by counts that are older than its requests.

For endpoints that run no batches: loads are forecast from counts or newer reports with their age; the requests that have arrived since fill the least loaded endpoints to one level (interpretation of stale loads), so that older news means a more even choice; a request of this gateway that is still in flight counts for several that are not known; an endpoint is passed over for failures beyond what the others have and chance explains. How slow an endpoint is counts with a half-life of 400 ms, by what it says (the fourth figure of the load header) or by its response times, which gateways tell each other in the extension of heartbeats. Engines are placed by prefix as before; of the replicas of a hot prefix, those that are slow now are passed over. Off with `even_choice: false`.

small_service runs each case with this choice, too; its bounds are unchanged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::{Request, Version, body::Incoming, http::response};
 use mimosaledge_core::Millis;
-use mimosaledge_policy::health::Outcome;
+use mimosaledge_policy::{health::Outcome, slowness::Slowness};
 
 use crate::{
     dialect::{ForwardMetadata, ResponseMetadata},
@@ -160,6 +160,9 @@
     if let Some(load) = metadata.load {
         handle.load.record(load, now);
     }
+    if let Some(multiple) = metadata.slowness {
+        handle.speed.record_slowness(Slowness::new(multiple), now);
+    }
     handle.record_notices(&metadata, now);
     permits::record_limits(gateway, handle, &metadata);
     connection.set_idle_timeout(metadata.idle_timeout_ms);
@@ -179,6 +182,9 @@
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
         return Err(log_failure(gateway, context, handle, AttemptError::Unknown, "missing seal"));
     }
+    if metadata.load.is_none() {
+        handle.speed.record_response(now.since(in_flight.started()), now);
+    }
     let framing = Framing::of(&head.headers);
     Ok(OpenResponse { in_flight, permit, received: now, connection, head, metadata, framing, body })
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -69,6 +69,8 @@
     pub misdirected: bool,
     /// Number of requests running and waiting at the endpoint, if reported.
     pub load: Option<u32>,
+    /// Time that work takes at the endpoint just now, relative to the usual time, if reported.
+    pub slowness: Option<f64>,
     /// Time for which the endpoint keeps an idle connection open, in
     /// milliseconds, if reported.
     pub idle_timeout_ms: Option<u64>,
--- a/crates/gateway/src/endpoint_handle.rs
+++ b/crates/gateway/src/endpoint_handle.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     clock::Clock, dialect::ResponseMetadata, endpoint_load::EndpointLoad, pool::Pool,
-    restrictions::Restrictions,
+    responsiveness::Responsiveness, restrictions::Restrictions,
 };
 
 /// Connections, load and health of one incarnation of an endpoint.
@@ -27,6 +27,7 @@
     pub(crate) endpoint: RefCell<Endpoint>,
     pub(crate) pool: Pool,
     pub(crate) load: EndpointLoad,
+    pub(crate) speed: Responsiveness,
     restrictions: Restrictions,
     node: u64,
     health: RefCell<Health>,
@@ -50,6 +51,7 @@
             endpoint: RefCell::new(endpoint),
             pool,
             load: EndpointLoad::new(mean_duration),
+            speed: Responsiveness::default(),
             restrictions: Restrictions::default(),
             node,
             health: RefCell::default(),
--- a/crates/gateway/src/endpoint_load.rs
+++ b/crates/gateway/src/endpoint_load.rs
@@ -25,6 +25,8 @@
     /// Number of this gateway's requests in flight.
     in_flight: Cell<u32>,
     reported: Cell<Option<ReportedLoad>>,
+    /// Number of requests that this gateway has sent since then.
+    sent_since_report: Cell<u32>,
     /// Mean duration of the requests of the endpoint's service.
     mean_duration: Rc<Cell<MeanDuration>>,
 }
@@ -32,7 +34,12 @@
 impl EndpointLoad {
     /// Creates the load of an endpoint without requests.
     pub(crate) fn new(mean_duration: Rc<Cell<MeanDuration>>) -> EndpointLoad {
-        EndpointLoad { in_flight: Cell::new(0), reported: Cell::new(None), mean_duration }
+        EndpointLoad {
+            in_flight: Cell::new(0),
+            reported: Cell::new(None),
+            sent_since_report: Cell::new(0),
+            mean_duration,
+        }
     }
 
     /// Returns the number of this gateway's requests in flight.
@@ -48,6 +55,7 @@
     /// Counts a request of this gateway as in flight.
     pub(crate) fn add_request(&self) {
         self.in_flight.set(self.in_flight.get() + 1);
+        self.sent_since_report.set(self.sent_since_report.get().saturating_add(1));
     }
 
     /// Stops counting a request of this gateway that was in flight for `duration_ms`.
@@ -65,7 +73,18 @@
 
     /// Records the load that the endpoint reported to this gateway.
     pub(crate) fn record(&self, load: u32, now: Millis) {
-        self.reported.set(Some(ReportedLoad { load, at: now, is_direct: true }));
+        self.set_reported(ReportedLoad { load, at: now, is_direct: true });
+    }
+
+    fn set_reported(&self, reported: ReportedLoad) {
+        self.reported.set(Some(reported));
+        self.sent_since_report.set(0);
+    }
+
+    /// Returns the number of requests that this gateway has sent since the endpoint's last
+    /// known report.
+    pub(crate) fn sent_since_report(&self) -> u32 {
+        self.sent_since_report.get()
     }
 
     /// Returns the load that the endpoint `node` reported to this gateway, if it is
@@ -81,7 +100,7 @@
     pub(crate) fn apply_sample(&self, sample: &LoadSample, now: Millis) {
         let at = now - sample.age_ms();
         if self.reported.get().is_none_or(|known| known.at < at) {
-            self.reported.set(Some(ReportedLoad { load: sample.load(), at, is_direct: false }));
+            self.set_reported(ReportedLoad { load: sample.load(), at, is_direct: false });
         }
     }
 
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -9,52 +9,41 @@
 
 use mimosaledge_core::{Millis, Name};
 use mimosaledge_policy::{
-    Endpoint, EndpointGroup, Reach,
-    load::{self, Counts, MeanDuration},
-    placement::Candidate,
+    Endpoint, EndpointGroup, Reach, load::MeanDuration, placement::Candidate, slowness::Slowness,
     unreported::Unreported,
 };
 
 use crate::{
     clock::Clock,
     endpoint_handle::{EndpointHandle, node_number},
+    load_estimates::LoadEstimates,
     loads::Loads,
     settings::Settings,
     unlisted_handles::UnlistedHandles,
 };
 
-/// Returns endpoints of one service as candidates for placement.
-///
-/// The load of each is the greater of the estimate from the requests of all
-/// gateways and the load that it recently reported. `remaining_share` of the requests
-/// that other gateways have reported are still in flight.
+/// Returns endpoints of one service, whose loads are `estimates`, as candidates for placement.
 pub(crate) fn to_candidates(
     handles: &[Rc<EndpointHandle>],
     settings: &Settings,
+    estimates: &LoadEstimates,
     loads: &Loads,
-    remaining_share: f64,
     now: Millis,
 ) -> Vec<Candidate> {
-    let counts: Vec<Counts> = handles
-        .iter()
-        .map(|it| Counts {
-            own: it.load.in_flight().into(),
-            peers: loads.peer_requests(it.node()).into(),
-        })
-        .collect();
-    let known_loads = load::estimate(&counts, remaining_share);
+    let known = estimates.loads.iter().zip(&estimates.slownesses);
     handles
         .iter()
-        .zip(known_loads)
-        .map(|(it, known_load)| to_candidate(it, known_load, &settings.data_centre, loads, now))
+        .zip(known)
+        .map(|(it, (load, slowness))| {
+            to_candidate(it, *load, *slowness, &settings.data_centre, loads, now)
+        })
         .collect()
 }
 
-/// Returns an endpoint as a candidate for placement; `known_load` is the estimate from the
-/// requests of all gateways.
 fn to_candidate(
     handle: &EndpointHandle,
-    known_load: f64,
+    load: f64,
+    slowness: Slowness,
     data_centre: &str,
     loads: &Loads,
     now: Millis,
@@ -62,10 +51,11 @@
     let tally = handle.tally(now) + loads.peer_outcomes(handle.node());
     Candidate {
         node: handle.node(),
-        load: load::with_report(known_load, handle.report(now), loads.max_report_age_ms()),
+        load,
         is_local: &*handle.endpoint.borrow().data_centre == data_centre,
         failure_rate: tally.failure_rate(),
         refusal_rate: tally.refusal_rate(),
+        slowness,
     }
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,13 +16,15 @@
 
 use mimosaledge_core::Millis;
 use mimosaledge_peer::{
-    Heartbeat, HeartbeatExtension, LoadSample, Message, Outcomes, Version, datagram,
+    Heartbeat, HeartbeatExtension, LoadSample, Message, Outcomes, ResponseTimeSample,
+    SlownessSample, Version, datagram,
 };
 use mimosaledge_policy::{EndpointGroup, crashing_parts::CrashStage};
 use tokio::{net::UdpSocket, task::spawn_local, time};
 
 use crate::{
     datagrams::{self, Outgoing},
+    endpoint_handle::EndpointHandle,
     endpoint_table::EndpointTable,
     gateway::Gateway,
     origins, permits, quarantine,
@@ -36,6 +38,11 @@
 const MAX_SAMPLES: usize = 8;
 /// Maximum number of endpoints with outcomes in a heartbeat of a large fleet.
 const MAX_OUTCOMES: usize = 8;
+/// Maximum number of slow endpoints, and of endpoints with response times, in a heartbeat of a
+/// small fleet.
+const MAX_SPEEDS: usize = 8;
+/// Maximum number of slow endpoints in a heartbeat of a large fleet.
+const MAX_SPEEDS_LARGE: usize = 4;
 /// Maximum number of endpoints with limits in a heartbeat.
 const MAX_LIMITS: usize = 16;
 /// Maximum number of services and builds that a heartbeat names as unreached.
@@ -122,12 +129,29 @@
         failure_report: peers.failure_report(now),
         extension: HeartbeatExtension {
             region: gateway.settings.region_hash(),
+            slow_endpoints: slow_endpoints(&table, is_large, now),
+            response_times: if is_large { Vec::new() } else { untold_response_times(&table, now) },
             ..HeartbeatExtension::default()
         },
         unreached: if gateway.is_cut_off() { Vec::new() } else { unreached_numbers(&table) },
     }
 }
 
+/// Returns what endpoints have said lately of how slow they are, latest first.
+fn slow_endpoints(table: &EndpointTable, is_large: bool, now: Millis) -> Vec<SlownessSample> {
+    let to_sample = |it: &Rc<EndpointHandle>| it.speed.to_slowness_sample(it.node(), now);
+    let mut samples: Vec<SlownessSample> = table.handles().filter_map(to_sample).collect();
+    samples.sort_unstable_by_key(|it| it.age_ms);
+    samples.truncate(if is_large { MAX_SPEEDS_LARGE } else { MAX_SPEEDS });
+    samples
+}
+
+/// Returns the response times that other gateways have not been told of.
+fn untold_response_times(table: &EndpointTable, now: Millis) -> Vec<ResponseTimeSample> {
+    let untold = table.handles().filter_map(|it| it.speed.take_untold(it.node(), now));
+    untold.take(MAX_SPEEDS).collect()
+}
+
 /// Returns the numbers of the groups of which this gateway cannot say that it reaches an
 /// endpoint, services first.
 fn unreached_numbers(table: &EndpointTable) -> Vec<u32> {
@@ -233,6 +257,16 @@
             handle.load.apply_sample(sample, now);
         }
     }
+    for sample in &heartbeat.extension.slow_endpoints {
+        if let Some(handle) = table.find_short(sample.endpoint) {
+            handle.speed.apply_slowness(sample, now);
+        }
+    }
+    for sample in &heartbeat.extension.response_times {
+        if let Some(handle) = table.find_short(sample.endpoint) {
+            handle.speed.apply_times(sample, now);
+        }
+    }
     drop(table);
     permits::apply_samples(gateway, &heartbeat.limits, now);
     let summary = heartbeat.summary;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,8 @@
 //! | `forward`, `forward_table` | hand requests over to a gateway that reaches endpoints |
 //! | `endpoint_handle`, `pool` | connections and health of an endpoint |
 //! | `endpoint_load`, `loads`, `in_flight` | requests at endpoints, and what these report |
+//! | `responsiveness` | how fast an endpoint is just now |
+//! | `load_estimates`, `even_placement` | estimates of loads, and placement by their age |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
 //! | `unlisted_handles` | what is known of endpoints that are not listed for a time |
 //! | `origins` | tells others which build began a stream, and finds it when a client resumes one |
@@ -59,6 +61,7 @@
 mod endpoint_table;
 mod error;
 mod error_response;
+mod even_placement;
 mod follow;
 mod follow_config;
 mod forward;
@@ -73,6 +76,8 @@
 mod in_flight;
 mod interruption;
 mod listener;
+mod load_estimates;
+mod load_metrics;
 mod loads;
 mod log_sink;
 mod metrics;
@@ -88,6 +93,7 @@
 mod relay;
 mod request;
 mod request_context;
+mod responsiveness;
 mod restrictions;
 mod retry_state;
 mod run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,8 @@
     TextEncoder,
 };
 
+use crate::load_metrics::LoadMetrics;
+
 /// Upper bounds of the latency histogram's buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
     [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0];
@@ -24,6 +26,7 @@
     pub(crate) peer_rejected: IntCounterVec,
     pub(crate) permits: IntCounterVec,
     pub(crate) forwards: IntCounterVec,
+    pub(crate) loads: LoadMetrics,
     version: IntGauge,
     gateways: IntGauge,
 }
@@ -100,6 +103,7 @@
         let version =
             IntGauge::new("mimosaledge_config_version", "Version of the configuration in force.")?;
         let gateways = IntGauge::new("mimosaledge_gateways", "Gateways alive, this one included.")?;
+        let loads = LoadMetrics::register(&registry)?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(cut_off_requests.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
@@ -126,6 +130,7 @@
             peer_rejected,
             permits,
             forwards,
+            loads,
             version,
             gateways,
         })
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
-    budget, claims::Claims, endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway,
-    permits, quarantine, request_context::RequestContext, retry_state::RetryState,
-    selected::Selected,
+    budget, claims::Claims, endpoint_handle::EndpointHandle, endpoint_table, even_placement,
+    gateway::Gateway, load_estimates::LoadEstimates, permits, quarantine,
+    request_context::RequestContext, retry_state::RetryState, selected::Selected,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
@@ -184,17 +184,27 @@
     let settings = &gateway.settings;
     let unreported =
         endpoint_table::estimate_unreported(&context.service, &untried, settings, &loads, now);
-    let remaining_share = unreported.remaining_share;
-    let candidates =
-        endpoint_table::to_candidates(&untried, settings, &loads, remaining_share, now);
-    let limit = batch_slots(gateway, context).map(|slots| LoadLimit {
+    let batch_slots = batch_slots(gateway, context);
+    let is_even = policy.even_choice && batch_slots.is_none() && context.prefix.is_none();
+    let estimates = match is_even {
+        true => LoadEstimates::forecast(&untried, &loads, now),
+        false => LoadEstimates::from_counts(&untried, &loads, unreported.remaining_share, now),
+    };
+    let candidates = endpoint_table::to_candidates(&untried, settings, &estimates, &loads, now);
+    let limit = batch_slots.map(|slots| LoadLimit {
         limit: admission::load_limit(policy, slots, context.authorized.priority, progress),
         unreported: unreported.at_some_of(allowed_count, open_count),
     });
     let hash = hash64(context.metadata.attempt_id.as_bytes());
     let running = |key| f64::from(loads.count_with_prefix(key) + 1);
     let prefix = context.prefix.map(|key| Prefix { key, running: running(key) });
-    let (index, admitting) = match placement::place(policy, limit, prefix, &candidates, hash) {
+    let placement = match &estimates.forecast {
+        Some(forecast) => {
+            even_placement::place(policy, forecast, &untried, &candidates, &loads, hash, now)
+        }
+        None => placement::place(policy, limit, prefix, &candidates, hash),
+    };
+    let (index, admitting) = match placement {
         Placement::Candidate { index, admitting } => (index, admitting),
         Placement::NoCandidate => return Err(Selection::Unavailable(Unavailable::NoEndpoint)),
         Placement::Overloaded { least_load, share } => {
@@ -215,14 +225,18 @@
         }
     };
     let (handle, candidate) = (&untried[index], candidates[index]);
+    gateway.metrics.loads.record(&candidate, &candidates, loads.peer_age_ms(now));
     spdlog::info!(
-        "place: id={} route={} endpoint={} build={} load={:.1} near={} failing={:.2} refusing={:.2} \
-         admitting={admitting} open={} known={} sent={} {} config={} list_age_ms={}",
+        "place: id={} route={} endpoint={} build={} load={:.1} slow={:.2} unsettled={:.1} \
+         report_age_ms={} near={} failing={:.2} refusing={:.2} admitting={admitting} open={} known={} sent={} {} config={} list_age_ms={}",
         context.metadata.attempt_id,
         context.route().name,
         handle.id(),
         handle.endpoint.borrow().build,
         candidate.load,
+        candidate.slowness.multiple(),
+        estimates.unsettled(),
+        handle.report(now).map_or_else(|| "none".to_owned(), |it| it.age_ms.to_string()),
         candidate.is_local,
         candidate.failure_rate,
         candidate.refusal_rate,
--- a/crates/peer/src/heartbeat_extension.rs
+++ b/crates/peer/src/heartbeat_extension.rs
@@ -3,6 +3,8 @@
 use mimosaledge_policy::Position;
 use serde::{Deserialize, Serialize};
 
+use crate::slowness_sample::{ResponseTimeSample, SlownessSample};
+
 /// The data centres whose endpoints get no requests, as of a position in the log.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationSummary {
@@ -19,6 +21,10 @@
     pub region: u32,
     /// The evacuated data centres, if the sender has read of them.
     pub evacuations: Option<EvacuationSummary>,
+    /// Endpoints that are slow just now, or were lately.
+    pub slow_endpoints: Vec<SlownessSample>,
+    /// Response times of endpoints that report no load; only in a small fleet.
+    pub response_times: Vec<ResponseTimeSample>,
 }
 
 impl HeartbeatExtension {
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -9,12 +9,14 @@
 use mimosaledge_core::{Millis, hash::hash32};
 use mimosaledge_peer::{
     Datagram, Error, EvacuationSummary, Heartbeat, HeartbeatExtension, Message, PermitRequest,
-    Refusal, Rejections, SuspectReport, SyncRequest, SyncResponse, Version, WarmupSample, datagram,
+    Refusal, Rejections, ResponseTimeSample, SlownessSample, SuspectReport, SyncRequest,
+    SyncResponse, Version, WarmupSample, datagram,
     sync::{self, SyncMessage},
 };
 use mimosaledge_policy::{
     ConfigExtension, Homes, Position, SlowStart, crashing_parts::CrashSuspect,
-    membership::FailureReport, stream_origins::BuildOrigins,
+    membership::FailureReport, response_times::ResponseSample, slowness::Slowness,
+    stream_origins::BuildOrigins,
 };
 use proptest::prelude::*;
 use recorded::{OLD_HEARTBEAT, RECORDED};
@@ -181,6 +183,8 @@
             position: Position { era: 1, offset: 440 },
             data_centres: vec![7, 8],
         }),
+        slow_endpoints: vec![SlownessSample::new(5, Slowness::new(2.5), 300)],
+        response_times: vec![ResponseTimeSample::new(6, ResponseSample::of_one(40), 200)],
     };
     for unreached in [vec![], vec![1, 2]] {
         let heartbeat = Heartbeat {
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -47,16 +47,17 @@
     /// Returns the share of requests that failed, with `PRIOR_SUCCESSES` counted
     /// as additional successes.
     pub fn failure_rate(self) -> f64 {
-        self.failures / self.total()
+        self.failures / self.weight()
     }
 
     /// Returns the share of requests that were refused, with `PRIOR_SUCCESSES`
     /// counted as additional successes.
     pub fn refusal_rate(self) -> f64 {
-        self.refusals / self.total()
+        self.refusals / self.weight()
     }
 
-    fn total(self) -> f64 {
+    /// Returns the number of requests, with `PRIOR_SUCCESSES`.
+    pub(crate) fn weight(self) -> f64 {
         self.successes + self.failures + self.refusals + PRIOR_SUCCESSES
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,10 @@
 //! | [`history`] | the latest changes of the endpoint list |
 //! | [`membership`] | failure detection between gateways, and recipients of heartbeats |
 //! | [`load`] | estimates of loads from counts that are partly out of date |
+//! | [`load_forecast`] | loads now, from counts and reports of the past |
+//! | [`slowness`], [`response_times`] | endpoints that are slow just now |
+//! | [`failure_excess`] | endpoints that fail more often than the others |
+//! | [`even_choice`] | choice by many gateways that know the same old loads |
 //! | [`placement`] | choice of the endpoint for a request, within the load bound |
 //! | [`prefix_cache`] | prompt prefixes that engines have cached |
 //! | [`admission`] | admission control for engines under overload |
@@ -42,12 +46,15 @@
 pub mod endpoint_group;
 pub mod endpoints;
 mod error;
+pub mod even_choice;
 pub mod events;
+pub mod failure_excess;
 pub mod health;
 pub mod history;
 pub mod issuers;
 pub mod limits;
 pub mod load;
+pub mod load_forecast;
 pub mod membership;
 pub mod origin_search;
 pub mod permits;
@@ -55,11 +62,13 @@
 pub mod position;
 pub mod prefix_cache;
 pub mod reach;
+pub mod response_times;
 pub mod retry_budget;
 pub mod route;
 pub mod sends;
 pub mod service;
 pub mod settings;
+pub mod slowness;
 mod sound_parts;
 pub mod stream_origins;
 mod suspect;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -12,10 +12,12 @@
 
 use mimosaledge_core::hash::{hash64, rendezvous_score};
 
-use crate::{settings::PolicySettings, unreported::Unreported};
+use crate::{settings::PolicySettings, slowness::Slowness, unreported::Unreported};
 
 /// Distinguishes the random number that admits a request from those that choose the endpoint.
 const ADMISSION_SALT: u64 = 0x61646d69;
+/// Distinguishes the random number that passes over a slow endpoint.
+const SLOWNESS_SALT: u64 = 0x736c6f77;
 
 /// An endpoint that may be chosen for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,12 +32,15 @@
     pub failure_rate: f64,
     /// Share of its latest requests that it refused, from 0 to 1.
     pub refusal_rate: f64,
+    /// Time that work takes there just now, relative to the usual time.
+    pub slowness: Slowness,
 }
 
 impl Candidate {
     fn cost(&self, settings: &PolicySettings, min_failure_rate: f64) -> f64 {
         let distance = if self.is_local { 0.0 } else { settings.remote_cost };
-        self.effective_load(settings, min_failure_rate) + distance
+        let delay = (self.load + 1.0) * (self.slowness.multiple() - 1.0);
+        self.effective_load(settings, min_failure_rate) + delay + distance
     }
 
     fn effective_load(&self, settings: &PolicySettings, min_failure_rate: f64) -> f64 {
@@ -50,6 +55,13 @@
         }
         to_unit(random ^ self.node) < self.refusal_rate
     }
+
+    /// Returns whether the endpoint is passed over for another one with the same prefix, which
+    /// is true for as large a share of random numbers as makes up for its slowness.
+    fn is_passed_over(&self, random: u64) -> bool {
+        let multiple = self.slowness.multiple().max(1.0);
+        to_unit(random ^ self.node ^ SLOWNESS_SALT) < 1.0 - 1.0 / multiple
+    }
 }
 
 /// A prompt prefix that several requests share.
@@ -187,12 +199,15 @@
     // The random number selects the replica to try first. The engines ranked
     // after the replicas are tried only if all replicas exceed the bound.
     let first = random as usize % replicas;
-    let order = (0..replicas).map(|it| (first + it) % replicas).chain(replicas..ranked.len());
+    let replicas_in_order = (0..replicas).map(|it| ranked[(first + it) % replicas].1);
+    let others = (replicas..ranked.len()).map(|it| ranked[it].1);
     let min_rate = min_failure_rate(candidates);
     let is_suitable = |it: &Candidate| {
         it.effective_load(settings, min_rate) <= bound && !it.is_assumed_full(settings, random)
     };
-    order.map(|it| ranked[it].1).find(|at| is_suitable(&candidates[*at]))
+    let is_preferred = |it: &Candidate| is_suitable(it) && !it.is_passed_over(random);
+    let preferred = replicas_in_order.clone().find(|at| is_preferred(&candidates[*at]));
+    preferred.or_else(|| replicas_in_order.chain(others).find(|at| is_suitable(&candidates[*at])))
 }
 
 /// Returns the number of engines to which a prefix is replicated: enough for its
@@ -242,6 +257,6 @@
 }
 
 /// Returns a number from 0 to 1 that is uniform over values of `random`.
-fn to_unit(random: u64) -> f64 {
+pub(crate) fn to_unit(random: u64) -> f64 {
     (hash64(&random.to_le_bytes()) >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -32,6 +32,9 @@
     pub avoid_refusals: bool,
     /// Whether reported loads count less when they are older than requests last.
     pub age_loads: bool,
+    /// Whether requests for endpoints that run no batches are spread by the age of what is known
+    /// of them, and endpoints that are slow just now are passed over.
+    pub even_choice: bool,
     /// Whether the gateways share the room that is left at engines, rather than each filling
     /// it alone.
     pub share_room: bool,
@@ -73,6 +76,7 @@
             failure_cost: 20.0,
             avoid_refusals: true,
             age_loads: true,
+            even_choice: true,
             share_room: true,
             fill_ratio: 0.94,
             priority_slots: 1.0,
--- a/crates/policy/tests/large_fleet.rs
+++ b/crates/policy/tests/large_fleet.rs
@@ -8,6 +8,7 @@
 use mimosaledge_policy::{
     PolicySettings,
     placement::{Candidate, Prefix, choose},
+    slowness::Slowness,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -130,6 +131,7 @@
             is_local: true,
             failure_rate: 0.0,
             refusal_rate: 0.0,
+            slowness: Slowness::USUAL,
         };
         (0..ENGINES).map(candidate).collect()
     }
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -7,6 +7,7 @@
 use mimosaledge_policy::{
     PolicySettings,
     placement::{Candidate, Prefix, choose},
+    slowness::Slowness,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -87,6 +88,7 @@
                     is_local: true,
                     failure_rate: 0.0,
                     refusal_rate: 0.0,
+                    slowness: Slowness::USUAL,
                 }
             })
             .collect();
@@ -147,8 +149,14 @@
 #[test]
 fn session_keeps_its_engine_when_another_leaves() {
     let with_prefix = |key| Prefix { key, running: 1.0 };
-    let idle =
-        |node| Candidate { node, load: 0.0, is_local: true, failure_rate: 0.0, refusal_rate: 0.0 };
+    let idle = |node| Candidate {
+        node,
+        load: 0.0,
+        is_local: true,
+        failure_rate: 0.0,
+        refusal_rate: 0.0,
+        slowness: Slowness::USUAL,
+    };
     let all: Vec<Candidate> = (0..9).map(|it| idle(hash64(&[it]))).collect();
     for session in 0..200u64 {
         let before = all
@@ -176,6 +184,7 @@
         is_local: true,
         failure_rate,
         refusal_rate: 0.0,
+        slowness: Slowness::USUAL,
     };
     let two = [candidate(1, 0.6), candidate(2, 0.0)];
     assert_eq!(choose(&PolicySettings::default(), None, &two, 0), Some(1));
@@ -189,8 +198,14 @@
 
 #[test]
 fn gateways_with_the_same_stale_loads_choose_different_endpoints() {
-    let candidate =
-        |load| Candidate { node: 1, load, is_local: true, failure_rate: 0.0, refusal_rate: 0.0 };
+    let candidate = |load| Candidate {
+        node: 1,
+        load,
+        is_local: true,
+        failure_rate: 0.0,
+        refusal_rate: 0.0,
+        slowness: Slowness::USUAL,
+    };
     let four = [candidate(0.0), candidate(1.0), candidate(1.0), candidate(2.0)];
     let mut random = Pcg64::seed_from_u64(3);
     let best = (0..1_000)
@@ -207,6 +222,7 @@
         is_local,
         failure_rate: 0.0,
         refusal_rate: 0.0,
+        slowness: Slowness::USUAL,
     };
     assert_eq!(
         choose(&PolicySettings::default(), None, &[candidate(3.0, true), candidate(1.0, false)], 0),
--- a/crates/policy/tests/small_service.rs
+++ b/crates/policy/tests/small_service.rs
@@ -9,9 +9,12 @@
 use mimosaledge_core::{Millis, hash::hash64};
 use mimosaledge_policy::{
     PolicySettings,
+    even_choice::{self, Backlog},
     health::{Health, Outcome, Tally},
     load::{self, Counts, MeanDuration},
+    load_forecast::{Forecast, Known},
     placement::{Candidate, choose},
+    slowness::Slowness,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -36,6 +39,8 @@
     heartbeat_ms: u64,
     /// Whether gateways tell each other their requests in flight.
     shares_counts: bool,
+    /// Whether they choose by the age of what they know, not the better of two.
+    is_even: bool,
 }
 
 #[derive(Debug, Default)]
@@ -152,16 +157,7 @@
     fn candidates(&self, gateway: usize, now: u64) -> Vec<Candidate> {
         let own = &self.gateways[gateway];
         let peers = || self.reports.iter().enumerate().filter(|(at, _)| *at != gateway);
-        let ages: u64 = peers().map(|(_, it)| now - it.at).sum();
-        let age_ms = ages / peers().count().max(1) as u64;
-        let reported =
-            |endpoint: usize| -> u32 { peers().map(|(_, it)| it.requests[endpoint]).sum() };
-        let counts: Vec<Counts> = (0..self.endpoints.len())
-            .map(|it| Counts {
-                own: own.own[it].into(),
-                peers: if self.scenario.shares_counts { reported(it).into() } else { 0.0 },
-            })
-            .collect();
+        let (counts, age_ms) = self.counts(gateway, now);
         let loads = load::estimate(&counts, own.mean_duration.remaining_share(age_ms));
         let tally = |endpoint: usize| {
             let own = own.health[endpoint].tally(Millis(now));
@@ -174,16 +170,61 @@
                 is_local: gateway % 3 == it % 3,
                 failure_rate: tally(it).failure_rate(),
                 refusal_rate: tally(it).refusal_rate(),
+                slowness: Slowness::USUAL,
             })
             .collect()
     }
 
+    /// Returns the requests that a gateway knows of, and the age of those of the others.
+    fn counts(&self, gateway: usize, now: u64) -> (Vec<Counts>, u64) {
+        let peers = || self.reports.iter().enumerate().filter(|(at, _)| *at != gateway);
+        let ages: u64 = peers().map(|(_, it)| now - it.at).sum();
+        let age_ms = ages / peers().count().max(1) as u64;
+        let reported =
+            |endpoint: usize| -> u32 { peers().map(|(_, it)| it.requests[endpoint]).sum() };
+        let count = |it: usize| Counts {
+            own: self.gateways[gateway].own[it].into(),
+            peers: if self.scenario.shares_counts { reported(it).into() } else { 0.0 },
+        };
+        ((0..self.endpoints.len()).map(count).collect(), age_ms)
+    }
+
+    fn choose_evenly(
+        &self,
+        gateway: usize,
+        candidates: &[Candidate],
+        random: u64,
+        now: u64,
+    ) -> Option<usize> {
+        let (counts, counts_age_ms) = self.counts(gateway, now);
+        let known: Vec<Known> = counts
+            .into_iter()
+            .map(|counts| Known { counts, counts_age_ms, report: None, own_since: 0.0 })
+            .collect();
+        let forecast = Forecast::new(&known, self.gateways[gateway].mean_duration);
+        let loads = forecast.loads().into_iter().zip(forecast.offsets());
+        let backlogs: Vec<Backlog> = candidates
+            .iter()
+            .zip(loads)
+            .map(|(it, (load, offset))| Backlog {
+                load: load + offset,
+                pace: 1.0,
+                passed_over: it.refusal_rate,
+            })
+            .collect();
+        even_choice::choose(&backlogs, forecast.unsettled(), random)
+    }
+
     fn send_request(&mut self, now: u64) {
         let gateway = self.random.random_range(0..self.gateways.len());
         self.requests += 1;
         let candidates = self.candidates(gateway, now);
-        let index =
-            choose(&PolicySettings::default(), None, &candidates, self.random.random()).unwrap();
+        let random = self.random.random();
+        let index = match self.scenario.is_even {
+            true => self.choose_evenly(gateway, &candidates, random, now),
+            false => choose(&PolicySettings::default(), None, &candidates, random),
+        }
+        .unwrap();
         let endpoint = &mut self.endpoints[index];
         if endpoint.slots.len() + endpoint.queue.len() >= SLOTS + QUEUE {
             self.refused += 1;
@@ -225,15 +266,18 @@
         $(
             #[test]
             fn $name() {
-                let shares = Fleet::new(Scenario {
-                    gateways: $gateways,
-                    endpoints: $endpoints,
-                    requests_per_s: $per_s,
-                    heartbeat_ms: $heartbeat_ms,
-                    shares_counts: $counts,
-                })
-                .run();
-                assert!(shares.refused < 0.01 && shares.in_time > 0.97, "{shares:?}");
+                for is_even in [false, true] {
+                    let shares = Fleet::new(Scenario {
+                        gateways: $gateways,
+                        endpoints: $endpoints,
+                        requests_per_s: $per_s,
+                        heartbeat_ms: $heartbeat_ms,
+                        shares_counts: $counts,
+                        is_even,
+                    })
+                    .run();
+                    assert!(shares.refused < 0.01 && shares.in_time > 0.97, "{is_even} {shares:?}");
+                }
             }
         )*
     };
--- a/crates/policy/tests/support/fleet.rs
+++ b/crates/policy/tests/support/fleet.rs
@@ -8,6 +8,7 @@
     arrival_rate::ArrivalRate,
     load::{self, Counts, MAX_REPORT_AGE_MS, MeanDuration, Report},
     placement::{Candidate, LoadLimit, Placement, Prefix, place},
+    slowness::Slowness,
     unreported::Unreported,
 };
 use rand::{RngExt, SeedableRng};
@@ -194,6 +195,7 @@
                 is_local: true,
                 failure_rate: 0.0,
                 refusal_rate: 0.0,
+                slowness: Slowness::USUAL,
             }
         };
         loads.into_iter().enumerate().map(candidate).collect()
