Check a configuration before it is sent

Cause: the fleet takes every configuration that it can decode, so that one with a route that never matches, or a key that is missing, shows when callers are refused.

mimosaledge-config check NEW [--against CURRENT] [--json]: routes that never match, names and keys given twice, services that are missing or unused, limits that contradict each other, and what differs from the version in force and takes something away. The checks are pure, in policy::config_check; the command lives with the adapter, which decodes the operators' JSON, in a binary of its own so that the gateway's command line stays as it is. Whether a service has endpoints is not checked, since the list is not in the configuration.

Tests: policy config_check (18 cases), edge config_check (exit statuses).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | content |
 //! |---|---|
 //! | [`config`] | the configuration, and routing and authorization of requests |
+//! | [`config_check`] | checks of a configuration before it is sent |
 //! | `config_extension` | the parts of it that earlier builds do not know |
 //! | [`endpoints`] | the set of endpoints, kept up during outages of the platform's list |
 //! | [`position`] | positions in the platform's log, across restores of its store |
@@ -35,6 +36,7 @@
 pub mod builds;
 pub mod concurrency;
 pub mod config;
+pub mod config_check;
 mod config_extension;
 mod crash;
 mod crash_evidence;
