Avoid endpoints that fail more than the best one, not than the mean

Cause: where two of three endpoints lose two in five of their responses, each was compared with a mean that the other had spoilt, and was passed over for less than half of its requests.

An endpoint is now compared with the one whose rate is lowest beyond chance. A test of two failing endpoints of three fails without this.

--- a/crates/policy/src/failure_excess.rs
+++ b/crates/policy/src/failure_excess.rs
@@ -6,9 +6,8 @@
 
 use crate::health::Tally;
 
-/// Standard deviations by which a failure rate may exceed that of the other endpoints by
-/// chance.
-const MARGIN: f64 = 2.0;
+/// Standard deviations by which a failure rate may be off by chance.
+const MARGIN: f64 = 1.5;
 /// Share of requests for which an endpoint is passed over, as a multiple of its excess.
 const AVOIDANCE: f64 = 4.0;
 /// Greatest share of requests for which an endpoint is passed over, so that the others show
@@ -16,20 +15,18 @@
 const MAX_PASSED_OVER: f64 = 0.95;
 
 /// Returns the share of requests for which each endpoint of a service is passed over since it
-/// fails more often than the others.
+/// fails more often than another one.
 pub fn passed_over(tallies: &[Tally]) -> Vec<f64> {
-    let all = tallies.iter().fold(Tally::default(), |sum, it| sum + *it);
-    tallies.iter().map(|it| (excess(*it, all) * AVOIDANCE).min(MAX_PASSED_OVER)).collect()
+    let highest = tallies.iter().map(|it| it.failure_rate() + margin(*it));
+    let common = highest.fold(1.0, f64::min);
+    let excess = |it: &Tally| (it.failure_rate() - margin(*it) - common).max(0.0);
+    tallies.iter().map(|it| (excess(it) * AVOIDANCE).min(MAX_PASSED_OVER)).collect()
 }
 
-/// Returns by how much the failure rate of an endpoint exceeds that of `all` without it.
-fn excess(own: Tally, all: Tally) -> f64 {
-    let others = Tally {
-        successes: all.successes - own.successes,
-        failures: all.failures - own.failures,
-        refusals: all.refusals - own.refusals,
-    };
-    let common = others.failure_rate().clamp(0.0, 1.0);
-    let margin = MARGIN * (common * (1.0 - common) / own.weight()).sqrt();
-    (own.failure_rate() - common - margin).max(0.0)
+/// Returns by how much an endpoint's failure rate may be off, given how many requests it is
+/// from.
+fn margin(tally: Tally) -> f64 {
+    let weight = tally.weight();
+    let rate = tally.failure_rate().clamp(1.0 / weight, 1.0 - 1.0 / weight);
+    MARGIN * (rate * (1.0 - rate) / weight).sqrt()
 }
--- a/crates/policy/tests/slowness.rs
+++ b/crates/policy/tests/slowness.rs
@@ -54,6 +54,7 @@
     failures_that_all_have_say_nothing: [(80.0, 16.0), (80.0, 13.0), (80.0, 20.0)] => [0usize; 0];
     few_failures_may_be_chance: [(9.0, 1.0), (10.0, 0.0), (10.0, 0.0)] => [0usize; 0];
     one_that_fails_half_is_avoided: [(80.0, 4.0), (80.0, 4.0), (40.0, 44.0)] => [2];
+    two_of_three_that_fail_half_are_avoided: [(80.0, 4.0), (40.0, 44.0), (44.0, 40.0)] => [1, 2];
     one_of_which_nothing_else_is_known_is_avoided: [(0.0, 9.0), (30.0, 0.0), (30.0, 0.0)] => [0];
 }
 
