--- a/crates/policy/src/failure_excess.rs
+++ b/crates/policy/src/failure_excess.rs
@@ -9,7 +9,7 @@
 /// Standard deviations by which a failure rate may be off by chance.
 const MARGIN: f64 = 1.5;
 /// Share of requests for which an endpoint is passed over, as a multiple of its excess.
-const AVOIDANCE: f64 = 4.0;
+const AVOIDANCE: f64 = 10.0;
 /// Greatest share of requests for which an endpoint is passed over, so that the others show
 /// when it has recovered.
 const MAX_PASSED_OVER: f64 = 0.95;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -16,8 +16,6 @@
 
 /// Distinguishes the random number that admits a request from those that choose the endpoint.
 const ADMISSION_SALT: u64 = 0x61646d69;
-/// Distinguishes the random number that passes over a slow endpoint.
-const SLOWNESS_SALT: u64 = 0x736c6f77;
 
 /// An endpoint that may be chosen for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -55,13 +53,6 @@
         }
         to_unit(random ^ self.node) < self.refusal_rate
     }
-
-    /// Returns whether the endpoint is passed over for another one with the same prefix, which
-    /// is true for as large a share of random numbers as makes up for its slowness.
-    fn is_passed_over(&self, random: u64) -> bool {
-        let multiple = self.slowness.multiple().max(1.0);
-        to_unit(random ^ self.node ^ SLOWNESS_SALT) < 1.0 - 1.0 / multiple
-    }
 }
 
 /// A prompt prefix that several requests share.
@@ -199,15 +190,12 @@
     // The random number selects the replica to try first. The engines ranked
     // after the replicas are tried only if all replicas exceed the bound.
     let first = random as usize % replicas;
-    let replicas_in_order = (0..replicas).map(|it| ranked[(first + it) % replicas].1);
-    let others = (replicas..ranked.len()).map(|it| ranked[it].1);
+    let order = (0..replicas).map(|it| (first + it) % replicas).chain(replicas..ranked.len());
     let min_rate = min_failure_rate(candidates);
     let is_suitable = |it: &Candidate| {
         it.effective_load(settings, min_rate) <= bound && !it.is_assumed_full(settings, random)
     };
-    let is_preferred = |it: &Candidate| is_suitable(it) && !it.is_passed_over(random);
-    let preferred = replicas_in_order.clone().find(|at| is_preferred(&candidates[*at]));
-    preferred.or_else(|| replicas_in_order.chain(others).find(|at| is_suitable(&candidates[*at])))
+    order.map(|it| ranked[it].1).find(|at| is_suitable(&candidates[*at]))
 }
 
 /// Returns the number of engines to which a prefix is replicated: enough for its
