--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,8 @@
 //! | `forward`, `forward_table` | hand requests over to a gateway that reaches endpoints |
 //! | `endpoint_handle`, `pool` | connections and health of an endpoint |
 //! | `endpoint_load`, `loads`, `in_flight` | requests at endpoints, and what these report |
+//! | `responsiveness` | how fast an endpoint is just now |
+//! | `load_estimates`, `even_placement` | estimates of loads, and placement by their age |
 //! | `endpoint_table` | all listed endpoints, and candidates for placement |
 //! | `warmup`, `warmup_news` | which endpoints are cold, with the other gateways |
 //! | `unlisted_handles` | what is known of endpoints that are not listed for a time |
@@ -69,6 +71,7 @@
 mod error;
 mod error_response;
 mod evacuation;
+mod even_placement;
 mod follow;
 mod follow_config;
 mod forward;
@@ -83,6 +86,8 @@
 mod in_flight;
 mod interruption;
 mod listener;
+mod load_estimates;
+mod load_metrics;
 mod loads;
 mod log_sink;
 mod memory;
@@ -101,6 +106,7 @@
 mod relay;
 mod request;
 mod request_context;
+mod responsiveness;
 mod restrictions;
 mod retry_state;
 mod run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,7 +6,7 @@
     Registry, TextEncoder,
 };
 
-use crate::evacuation::EvacuationState;
+use crate::{evacuation::EvacuationState, load_metrics::LoadMetrics};
 
 /// Upper bounds of the latency histogram's buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -31,6 +31,7 @@
     pub(crate) memory_decisions: IntCounterVec,
     pub(crate) held_bytes: IntGauge,
     pub(crate) client_connections: IntGauge,
+    pub(crate) loads: LoadMetrics,
     version: IntGauge,
     gateways: IntGauge,
     evacuation_age: IntGaugeVec,
@@ -141,6 +142,7 @@
         )?;
         registry.register(Box::new(evacuation_age.clone()))?;
         registry.register(Box::new(evacuated_requests.clone()))?;
+        let loads = LoadMetrics::register(&registry)?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(cut_off_requests.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
@@ -177,6 +179,7 @@
             memory_decisions,
             held_bytes,
             client_connections,
+            loads,
             version,
             gateways,
             evacuation_age,
--- a/crates/peer/src/heartbeat_extension.rs
+++ b/crates/peer/src/heartbeat_extension.rs
@@ -3,7 +3,10 @@
 use mimosaledge_policy::Position;
 use serde::{Deserialize, Serialize};
 
-use crate::warmup_sample::WarmupSample;
+use crate::{
+    slowness_sample::{ResponseTimeSample, SlownessSample},
+    warmup_sample::WarmupSample,
+};
 
 /// The data centres whose endpoints get no requests, as of a position in the log.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +26,10 @@
     pub evacuations: Option<EvacuationSummary>,
     /// Cold endpoints that the sender knows of from itself.
     pub warmups: Vec<WarmupSample>,
+    /// Endpoints that are slow just now, or were lately.
+    pub slow_endpoints: Vec<SlownessSample>,
+    /// Response times of endpoints that report no load; only in a small fleet.
+    pub response_times: Vec<ResponseTimeSample>,
 }
 
 impl HeartbeatExtension {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -12,7 +12,7 @@
 
 use mimosaledge_core::hash::{hash64, rendezvous_score};
 
-use crate::{settings::PolicySettings, unreported::Unreported};
+use crate::{settings::PolicySettings, slowness::Slowness, unreported::Unreported};
 
 /// Distinguishes the random number that admits a request from those that choose the endpoint.
 const ADMISSION_SALT: u64 = 0x61646d69;
@@ -30,12 +30,15 @@
     pub failure_rate: f64,
     /// Share of its latest requests that it refused, from 0 to 1.
     pub refusal_rate: f64,
+    /// Time that work takes there just now, relative to the usual time.
+    pub slowness: Slowness,
 }
 
 impl Candidate {
     fn cost(&self, settings: &PolicySettings, min_failure_rate: f64) -> f64 {
         let distance = if self.is_local { 0.0 } else { settings.remote_cost };
-        self.effective_load(settings, min_failure_rate) + distance
+        let delay = (self.load + 1.0) * (self.slowness.multiple() - 1.0);
+        self.effective_load(settings, min_failure_rate) + delay + distance
     }
 
     fn effective_load(&self, settings: &PolicySettings, min_failure_rate: f64) -> f64 {
@@ -242,6 +245,6 @@
 }
 
 /// Returns a number from 0 to 1 that is uniform over values of `random`.
-fn to_unit(random: u64) -> f64 {
+pub(crate) fn to_unit(random: u64) -> f64 {
     (hash64(&random.to_le_bytes()) >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/crates/policy/tests/evacuations.rs
+++ b/crates/policy/tests/evacuations.rs
@@ -7,6 +7,7 @@
     endpoints::RECOVERY_GRACE_MS,
     evacuations::{DataCentre, Evacuation, EvacuationList, Evacuations},
     placement::{self, Candidate, Prefix},
+    slowness::Slowness,
 };
 
 const NOW: Millis = Millis(1_000_000);
@@ -184,7 +185,13 @@
 }
 
 fn engines_with_load(count: u64, load: f64) -> Vec<Candidate> {
-    let engine =
-        |node| Candidate { node, load, is_local: true, failure_rate: 0.0, refusal_rate: 0.0 };
+    let engine = |node| Candidate {
+        node,
+        load,
+        is_local: true,
+        failure_rate: 0.0,
+        refusal_rate: 0.0,
+        slowness: Slowness::USUAL,
+    };
     (0..count).map(engine).collect()
 }
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -4,6 +4,7 @@
 use mimosaledge_policy::{
     placement::Candidate,
     slow_start::{Pace, Warmup, permit_rate, raise_loads},
+    slowness::Slowness,
 };
 
 /// How the endpoints start.
@@ -118,6 +119,7 @@
         is_local: true,
         failure_rate: 0.0,
         refusal_rate: 0.0,
+        slowness: Slowness::USUAL,
     };
     let mut candidates: Vec<Candidate> = loads.iter().map(candidate).collect();
     raise_loads(&mut candidates, ramps, limit);
