--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -169,6 +169,7 @@
     lost_gateways_of_90_are_forgotten => 90, 54;
     lost_gateway_of_340_is_forgotten => 340, 1;
     lost_gateways_of_340_are_forgotten => 340, 68;
+    most_gateways_of_340_are_forgotten => 340, 204;
 }
 
 fn assert_lost_are_forgotten(count: usize, lost: usize) {
