--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -27,7 +27,7 @@
 #[expect(dead_code, reason = "for the end of evacuations")]
 pub(crate) fn mark_returned(_gateway: &Gateway, handles: impl Iterator<Item = Rc<EndpointHandle>>) {
     for handle in handles {
-        if handle.update_warmup(|it| it.find(handle.now())) {
+        if handle.update_warmup(|it| it.doubt(handle.now())) {
             log_cold(&handle, "returned");
         }
     }
@@ -97,16 +97,18 @@
 pub(crate) async fn run(gateway: Rc<Gateway>) {
     loop {
         gateway.warmup_news.added.notified().await;
+        let is_connected = gateway.warmup_news.connected_ms(gateway.now()) >= MIN_CONNECTED_MS;
         let mut news = Vec::new();
         for handle in gateway.warmup_news.take_found() {
-            if handle.update_warmup(|it| it.find(handle.now())) {
+            let now = handle.now();
+            if !is_connected && handle.update_warmup(|it| it.doubt(now)) {
+                log_cold(&handle, "link");
+            } else if is_connected && handle.update_warmup(|it| it.find(now)) {
                 log_cold(&handle, "found");
                 news.push(to_sample(&handle));
             }
         }
-        if gateway.warmup_news.connected_ms(gateway.now()) >= MIN_CONNECTED_MS {
-            tell_all(&gateway, news);
-        }
+        tell_all(&gateway, news);
     }
 }
 
--- a/crates/policy/src/slow_start.rs
+++ b/crates/policy/src/slow_start.rs
@@ -47,8 +47,9 @@
     Entry,
     /// This gateway has found that it may have started, at this time.
     Found(Millis),
-    /// Another gateway has told so, at this time.
-    Told(Millis),
+    /// Another gateway has told so, or this one cannot tell a start from a broken link, since this
+    /// time.
+    Doubt(Millis),
 }
 
 /// What one gateway knows of the start of one incarnation of an endpoint.
@@ -87,11 +88,21 @@
         self.pace = pace;
     }
 
-    /// Applies that the endpoint may have started at `now`; returns whether that is news.
+    /// Applies that the endpoint has probably started at `now`; returns whether that is news.
     pub fn find(&mut self, now: Millis) -> bool {
+        let is_news = self.doubt(now);
+        if self.pace.is_some() {
+            self.evidence = Evidence::Found(now);
+        }
+        is_news
+    }
+
+    /// Applies that the endpoint may have started at `now`, which other gateways need not know;
+    /// returns whether that is news.
+    pub fn doubt(&mut self, now: Millis) -> bool {
         let Some(pace) = self.pace else { return false };
         let is_news = self.prolong(now + pace.duration_ms, now);
-        self.evidence = Evidence::Found(now);
+        self.evidence = Evidence::Doubt(now);
         is_news
     }
 
@@ -115,7 +126,7 @@
         let is_newer = match self.evidence {
             Evidence::Novelty => true,
             Evidence::Entry => written_after.is_some(),
-            Evidence::Found(at) | Evidence::Told(at) => written_after.is_some_and(|it| it >= at),
+            Evidence::Found(at) | Evidence::Doubt(at) => written_after.is_some_and(|it| it >= at),
         };
         if is_newer {
             self.cold_until = self.cold_until.min(until);
@@ -130,12 +141,12 @@
         let until = now + left_ms.min(MAX_LEFT_MS);
         if self.evidence == Evidence::Novelty && until < self.cold_until {
             self.cold_until = until;
-            self.evidence = Evidence::Told(now);
+            self.evidence = Evidence::Doubt(now);
             return false;
         }
         let is_news = until > self.cold_until && left_ms > 0 && self.prolong(until, now);
         if is_news {
-            self.evidence = Evidence::Told(now);
+            self.evidence = Evidence::Doubt(now);
         }
         is_news
     }
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -22,6 +22,7 @@
     endpoint_of_the_first_list_is_cold_only_if_its_entry_says_so => first_list_case();
     entry_from_before_a_return_does_not_end_the_doubt => old_entry_case();
     news_prolongs_and_does_not_shorten => news_case();
+    only_what_a_gateway_knows_itself_is_told_again => own_news_case();
     endpoint_is_not_believed_to_stay_cold_forever => odd_entry_case();
     service_without_slow_start_has_no_cold_endpoints => no_pace_case();
     load_rises_without_a_step => ramp_case();
@@ -85,6 +86,21 @@
     assert_eq!(warmup.cold_from(), START + 60_000);
 }
 
+/// What is only heard must not go round.
+fn own_news_case() {
+    let after = |change: fn(&mut Warmup)| {
+        let mut warmup = known();
+        change(&mut warmup);
+        assert!(warmup.is_cold(START));
+        warmup.is_own_news(START)
+    };
+    assert!(after(|it| assert!(it.find(START))));
+    assert!(after(|it| assert!(it.apply_entry(2_000, None, START))));
+    assert!(!after(|it| assert!(it.doubt(START))));
+    assert!(!after(|it| assert!(it.apply_sample(2_000, START))));
+    assert!(!appeared().is_own_news(START));
+}
+
 fn odd_entry_case() {
     let mut warmup = known();
     warmup.apply_entry(u64::MAX, None, START);
