Count what follows an empty list as new

Cause: the endpoints of a gateway's first list are not new to it; one that has had a list which became empty was taken for a gateway with its first list, so that endpoints which may have just started got all requests.

Change: a list is the first one only if no endpoint was listed before. Seen failing: endpoint_that_ends_an_empty_list_may_be_cold timed out after 10 s; six of six cases of cold_endpoints pass now.

--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -149,7 +149,7 @@
         clock: Clock,
     ) {
         let now = clock.now();
-        let is_first = self.handles.is_empty();
+        let is_first = self.handles.is_empty() && self.unlisted.iter().next().is_none();
         let unreached: Vec<Name> =
             self.unreached_groups().into_keys().filter_map(EndpointGroup::into_service).collect();
         let mut previous = std::mem::take(&mut self.handles);
