--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -23,11 +23,13 @@
     }
 }
 
-/// Counts endpoints as cold that get requests again after a time without any.
+/// Counts endpoints as cold that get requests again after a time without any, for as long as their
+/// service says. All gateways do so at the same time, so that none is told.
 #[expect(dead_code, reason = "for the end of evacuations")]
-pub(crate) fn mark_returned(_gateway: &Gateway, handles: impl Iterator<Item = Rc<EndpointHandle>>) {
+pub(crate) fn mark_returned(gateway: &Gateway, handles: impl Iterator<Item = Rc<EndpointHandle>>) {
+    let now = gateway.now();
     for handle in handles {
-        if handle.update_warmup(|it| it.doubt(handle.now())) {
+        if handle.update_warmup(|it| it.doubt(now)) {
             log_cold(&handle, "returned");
         }
     }
@@ -40,12 +42,12 @@
     let mut news = Vec::new();
     for entry in entries {
         let Some(handle) = find_incarnation(gateway, entry) else { continue };
-        let now = handle.now();
-        let was_assumed = handle.warmup().is_cold(now);
-        if handle.update_warmup(|it| it.apply_entry(entry.left_ms, written_after, now)) {
+        let (was_cold, now) = (handle.is_cold(), handle.now());
+        let is_news = handle.update_warmup(|it| it.apply_entry(entry.left_ms, written_after, now));
+        if is_news {
             log_cold(&handle, "entry");
-            news.push(to_sample(&handle));
-        } else if was_assumed && !handle.is_cold() {
+        }
+        if is_news || (was_cold && !handle.is_cold()) {
             news.push(to_sample(&handle));
         }
     }
