--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -120,7 +120,7 @@
         log_change(gateway, *change, source);
     }
     // Endpoints that got no requests may have become cold.
-    warmup::mark_returned(mark_endpoints(gateway).into_iter());
+    warmup::mark_returned(gateway, mark_endpoints(gateway).into_iter());
 }
 
 fn log_change(gateway: &Gateway, change: Evacuation, source: &str) {
--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -23,10 +23,12 @@
     }
 }
 
-/// Counts endpoints as cold that get requests again after a time without any.
-pub(crate) fn mark_returned(handles: impl Iterator<Item = Rc<EndpointHandle>>) {
+/// Counts endpoints as cold that get requests again after a time without any, for as long as their
+/// service says. All gateways do so at the same time, so that none is told.
+pub(crate) fn mark_returned(gateway: &Gateway, handles: impl Iterator<Item = Rc<EndpointHandle>>) {
+    let now = gateway.now();
     for handle in handles {
-        if handle.update_warmup(|it| it.find(handle.now())) {
+        if handle.update_warmup(|it| it.doubt(now)) {
             log_cold(&handle, "returned");
         }
     }
@@ -39,12 +41,12 @@
     let mut news = Vec::new();
     for entry in entries {
         let Some(handle) = find_incarnation(gateway, entry) else { continue };
-        let now = handle.now();
-        let was_assumed = handle.warmup().is_cold(now);
-        if handle.update_warmup(|it| it.apply_entry(entry.left_ms, written_after, now)) {
+        let (was_cold, now) = (handle.is_cold(), handle.now());
+        let is_news = handle.update_warmup(|it| it.apply_entry(entry.left_ms, written_after, now));
+        if is_news {
             log_cold(&handle, "entry");
-            news.push(to_sample(&handle));
-        } else if was_assumed && !handle.is_cold() {
+        }
+        if is_news || (was_cold && !handle.is_cold()) {
             news.push(to_sample(&handle));
         }
     }
@@ -96,16 +98,18 @@
 pub(crate) async fn run(gateway: Rc<Gateway>) {
     loop {
         gateway.warmup_news.added.notified().await;
+        let is_connected = gateway.warmup_news.connected_ms(gateway.now()) >= MIN_CONNECTED_MS;
         let mut news = Vec::new();
         for handle in gateway.warmup_news.take_found() {
-            if handle.update_warmup(|it| it.find(handle.now())) {
+            let now = handle.now();
+            if !is_connected && handle.update_warmup(|it| it.doubt(now)) {
+                log_cold(&handle, "link");
+            } else if is_connected && handle.update_warmup(|it| it.find(now)) {
                 log_cold(&handle, "found");
                 news.push(to_sample(&handle));
             }
         }
-        if gateway.warmup_news.connected_ms(gateway.now()) >= MIN_CONNECTED_MS {
-            tell_all(&gateway, news);
-        }
+        tell_all(&gateway, news);
     }
 }
 
