Decide what a service without load reports can take, and how workspaces share it

Cause: admission knew priorities by a few slots and no workspaces, and a service whose endpoints report no load had no limit: its queues filled up until every request was late, for all workspaces alike.

Change: three modules without I/O. capacity: requests that may be in flight, by Little's law from slots, work time and what is completed. fair_share: max-min shares of workspaces, and room by priority. returns: who has waited before, by the deadline, and when a refused request comes back. usage_table counts by workspace in bounded memory. A heartbeat's extension carries the counts of services that lack room.

Settings: limit_queues, fair_shares, both on.

--- a/crates/peer/src/heartbeat_extension.rs
+++ b/crates/peer/src/heartbeat_extension.rs
@@ -3,6 +3,8 @@
 use mimosaledge_policy::Position;
 use serde::{Deserialize, Serialize};
 
+use crate::service_usage::ServiceUsage;
+
 /// The data centres whose endpoints get no requests, as of a position in the log.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationSummary {
@@ -19,6 +21,8 @@
     pub region: u32,
     /// The evacuated data centres, if the sender has read of them.
     pub evacuations: Option<EvacuationSummary>,
+    /// Requests to services that lack room.
+    pub usages: Vec<ServiceUsage>,
 }
 
 impl HeartbeatExtension {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -22,6 +22,7 @@
 //! | `change_batch`, `state_summary` | configuration and endpoint list in messages |
 //! | `rejections` | which rejected datagrams are logged |
 //! | `endpoint_limits`, `load_sample`, `outcomes`, `reports`, `request_count`, `heartbeat_extension` | parts of heartbeats |
+//! | `service_usage` | what gateways tell of services that lack room |
 //! | `warmup_sample` | how long endpoints stay cold |
 
 mod change_batch;
@@ -38,6 +39,7 @@
 mod rejections;
 mod reports;
 mod request_count;
+mod service_usage;
 mod state_summary;
 pub mod sync;
 mod version;
@@ -56,6 +58,7 @@
     rejections::Rejections,
     reports::{CrashReport, Refusal, SuspectReport},
     request_count::RequestCount,
+    service_usage::{RequestUsage, ServiceUsage},
     state_summary::StateSummary,
     sync::{ListUpdate, SyncRequest, SyncResponse},
     version::Version,
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -9,7 +9,8 @@
 use mimosaledge_core::{Millis, hash::hash32};
 use mimosaledge_peer::{
     Datagram, Error, EvacuationSummary, Heartbeat, HeartbeatExtension, Message, PermitRequest,
-    Refusal, Rejections, SuspectReport, SyncRequest, SyncResponse, Version, WarmupSample, datagram,
+    Refusal, Rejections, RequestUsage, ServiceUsage, SuspectReport, SyncRequest, SyncResponse,
+    Version, WarmupSample, datagram,
     sync::{self, SyncMessage},
 };
 use mimosaledge_policy::{
@@ -181,6 +182,14 @@
             position: Position { era: 1, offset: 440 },
             data_centres: vec![7, 8],
         }),
+        usages: vec![ServiceUsage {
+            service: 5,
+            total: RequestUsage::new(20.0, 12.5),
+            completed: 160,
+            returned: 30,
+            priorities: [0, 100, 155, 0],
+            workspaces: vec![(11, RequestUsage::new(15.0, 7.5))],
+        }],
     };
     for unreached in [vec![], vec![1, 2]] {
         let heartbeat = Heartbeat {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,9 @@
 //! | [`placement`] | choice of the endpoint for a request, within the load bound |
 //! | [`prefix_cache`] | prompt prefixes that engines have cached |
 //! | [`admission`] | admission control for engines under overload |
+//! | [`capacity`] | what endpoints that report no load can take |
+//! | [`fair_share`], [`usage_table`] | shares of the workspaces in a service that lacks room |
+//! | [`returns`] | requests that come back after a refusal |
 //! | [`retry_budget`], [`sends`] | retry budgets per service, and what counts in them |
 //! | [`permits`] | rate limits of endpoints, which all gateways share |
 //! | [`concurrency`] | requests in flight at endpoints that must not have to refuse many |
@@ -29,6 +32,7 @@
 pub mod arrival_rate;
 mod build_id;
 pub mod builds;
+pub mod capacity;
 pub mod concurrency;
 pub mod config;
 mod config_extension;
@@ -43,6 +47,7 @@
 pub mod endpoints;
 mod error;
 pub mod events;
+pub mod fair_share;
 pub mod health;
 pub mod history;
 pub mod issuers;
@@ -56,6 +61,7 @@
 pub mod prefix_cache;
 pub mod reach;
 pub mod retry_budget;
+pub mod returns;
 pub mod route;
 pub mod sends;
 pub mod service;
@@ -64,6 +70,7 @@
 pub mod stream_origins;
 mod suspect;
 pub mod unreported;
+pub mod usage_table;
 pub mod version_follower;
 pub mod work_times;
 
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -43,6 +43,11 @@
     /// Slots by which the limit is higher for requests that have already run in
     /// part; 0 is off.
     pub started_slots: f64,
+    /// Whether endpoints that report no load are sent only as many requests as they can answer
+    /// within the latency goal.
+    pub limit_queues: bool,
+    /// Whether workspaces share the room of services that have too little of it.
+    pub fair_shares: bool,
     /// Whether clients that are refused together are told different delays.
     pub spread_retries: bool,
     /// Share of the retry budget that gateways use; 0 switches retries off. The rest
@@ -77,6 +82,8 @@
             fill_ratio: 0.94,
             priority_slots: 1.0,
             started_slots: 8.0,
+            limit_queues: true,
+            fair_shares: true,
             spread_retries: true,
             retry_share: 0.8,
             down_timeouts: 2,
