Share the room of services that lack it among workspaces

Change: the gateway asks fair_share and capacity before it sends a request to such a service for the first time, and refuses at once what it has no room for; engines lower the load limit of a workspace that exceeds its share. Refused clients come back in an order, least served first. Log lines fair, and workspace in request; metrics of refusals and top workspaces.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -5,11 +5,7 @@
 use hyper::{Method, Response, StatusCode};
 use mimosaledge_core::hash::hash64;
 use mimosaledge_net::server::{ReplyBody, full_body};
-use mimosaledge_policy::{
-    RetryPolicy,
-    admission::{self, Progress},
-    health::Outcome,
-};
+use mimosaledge_policy::{RetryPolicy, admission::Progress, health::Outcome};
 use tokio::time::timeout;
 
 use crate::{
@@ -17,6 +13,7 @@
     body_buffer::{self, BodyError},
     budget, continuation,
     error_response::{Code, ErrorResponse},
+    fairness,
     forward::{self, ForwardError},
     framing::Framing,
     gateway::Gateway,
@@ -204,11 +201,7 @@
             Ok(Some(Attempt::start(gateway, context, selected, ConnectionChoice::Any, last_event)))
         }
         Selection::Overloaded if !retry_state.has_tried() && !retry_state.may_have_run() => {
-            let retry_ms = admission::retry_after_ms(
-                &gateway.settings.policy,
-                context.remaining_ms(gateway.now()),
-                &context.metadata.attempt_id,
-            );
+            let retry_ms = fairness::retry_after_ms(gateway, context);
             Err(ErrorResponse::with_retry_after(Code::Overloaded, retry_ms))
         }
         Selection::Unavailable(Unavailable::Stopping) if !retry_state.may_have_run() => {
@@ -279,6 +272,9 @@
         handle.pool.release(connection);
     }
     let is_error = head.status.is_server_error();
+    if metadata.load.is_none() {
+        fairness::record_answer(gateway, context, &in_flight, is_error, now);
+    }
     if !is_error {
         let work_ms = now.since(in_flight.started());
         gateway.work_times.borrow_mut().record(&context.route().name, work_ms);
@@ -290,14 +286,16 @@
     );
     quarantine::clear(gateway, context, head.status.is_success());
     spdlog::info!(
-        "request: id={} route={} endpoint={} status={} bytes={} forwarded={} elapsed_ms={}",
+        "request: id={} route={} endpoint={} status={} bytes={} forwarded={} \
+         elapsed_ms={} workspace={}",
         context.metadata.attempt_id,
         context.route().name,
         handle.id(),
         head.status.as_u16(),
         bytes.len(),
         context.is_forwarded,
-        now.since(context.arrived)
+        now.since(context.arrived),
+        context.workspace()
     );
     strip_hop_by_hop_headers(&mut head.headers);
     Ok(Response::from_parts(head, full_body(bytes)))
@@ -334,6 +332,9 @@
     } else {
         Code::Refused
     };
+    if code == Code::Refused && fairness::is_short_of_room(gateway, context) {
+        return ErrorResponse::with_retry_after(code, fairness::retry_after_ms(gateway, context));
+    }
     let wait_ms = selection::wait_ms(gateway, context);
     ErrorResponse::with_retry_after(code, retry_after_ms(&context.metadata.attempt_id, wait_ms))
 }
--- a/crates/gateway/src/error_response.rs
+++ b/crates/gateway/src/error_response.rs
@@ -26,7 +26,7 @@
     TooLarge = 2004,
     /// No endpoint of the service is available.
     NoEndpoint = 3003,
-    /// Every engine is at its load limit.
+    /// Every engine is at its load limit, or the service has no room for the request.
     Overloaded = 3002,
     /// Every endpoint selected for the request refused it or was unreachable.
     Refused = 3008,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
     dialect::Dialect,
     drain::Drain,
     endpoint_table::EndpointTable,
+    fairness_table::FairnessTable,
     forward_table::ForwardTable,
     loads::Loads,
     metrics::Metrics,
@@ -101,6 +102,7 @@
     pub(crate) loads: Rc<RefCell<Loads>>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) permit_table: RefCell<PermitTable>,
+    pub(crate) fairness: RefCell<FairnessTable>,
     /// When the configuration was last known to be current.
     pub(crate) config_confirmed: Cell<Millis>,
     /// When the endpoint list was last known to be current.
@@ -179,6 +181,7 @@
             loads: Rc::default(),
             peers: RefCell::new(peers),
             permit_table: RefCell::new(permit_table),
+            fairness: RefCell::default(),
             config_confirmed: Cell::new(Millis(0)),
             list_confirmed: Cell::new(Millis(0)),
             list_read: Cell::default(),
@@ -265,6 +268,7 @@
             config.routes.len()
         );
         self.work_times.borrow_mut().retain(&config.routes);
+        self.fairness.borrow_mut().usual_deadlines.retain(&config.routes);
         *self.routes.borrow_mut() = Rc::new(RouteTable::from_config(&config));
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -103,6 +103,7 @@
         samples.truncate(MAX_SAMPLES);
     }
     let loads = gateway.loads.borrow();
+    let fairness = gateway.fairness.borrow();
     Heartbeat {
         ready: gateway.is_ready(),
         cut_off: gateway.is_cut_off(),
@@ -122,6 +123,7 @@
         failure_report: peers.failure_report(now),
         extension: HeartbeatExtension {
             region: gateway.settings.region_hash(),
+            usages: fairness.usages(now),
             ..HeartbeatExtension::default()
         },
         unreached: if gateway.is_cut_off() { Vec::new() } else { unreached_numbers(&table) },
@@ -235,6 +237,7 @@
     }
     drop(table);
     permits::apply_samples(gateway, &heartbeat.limits, now);
+    gateway.fairness.borrow_mut().apply(from, &heartbeat.extension, now);
     let summary = heartbeat.summary;
     let heard = gateway.peers.borrow_mut().record_heartbeat(from, version, heartbeat, now);
     if heard.has_become_ready {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -13,6 +13,8 @@
     key: (u32, u32),
     loads: Rc<RefCell<Loads>>,
     started: Millis,
+    /// Requests at the endpoint when this one was sent, this one included.
+    load: f64,
 }
 
 impl InFlight {
@@ -26,7 +28,8 @@
         loads.borrow_mut().add_own(key);
         let started = handle.now();
         handle.load.add_request();
-        InFlight { handle, key, loads, started }
+        let load = handle.load.in_flight() + loads.borrow().peer_requests(handle.node());
+        InFlight { handle, key, loads, started, load: load.into() }
     }
 
     /// Returns when the request was sent.
@@ -34,6 +37,11 @@
         self.started
     }
 
+    /// Returns the number of requests at the endpoint when this one was sent, as far as known.
+    pub(crate) fn load(&self) -> f64 {
+        self.load
+    }
+
     /// Returns the endpoint.
     pub(crate) fn handle(&self) -> &Rc<EndpointHandle> {
         &self.handle
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `silence` | gives up a silent endpoint only for another one |
 //! | `permits`, `permit`, `permit_table`, `claims` | keep the limits of endpoints with the other gateways |
 //! | `restrictions`, `endpoint_limits` | when an endpoint accepts requests, and how many |
+//! | `fairness`, `fairness_table` | share the room of services among workspaces |
 //! | `quarantine`, `crash_news` | finds out what crashes endpoints, refuses it, and tells of it |
 //! | `relay`, `arrival`, `upstream` | forwards a stream and resumes it at another endpoint |
 //! | `continuation` | which responses may continue a stream |
@@ -59,6 +60,8 @@
 mod endpoint_table;
 mod error;
 mod error_response;
+mod fairness;
+mod fairness_table;
 mod follow;
 mod follow_config;
 mod forward;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,9 +1,10 @@
 //! Metrics of a gateway, in the Prometheus text format.
 
 use eyre::Result;
+use mimosaledge_core::Name;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histogram's buckets, in seconds.
@@ -24,6 +25,8 @@
     pub(crate) peer_rejected: IntCounterVec,
     pub(crate) permits: IntCounterVec,
     pub(crate) forwards: IntCounterVec,
+    pub(crate) room_refusals: IntCounterVec,
+    top_workspaces: GaugeVec,
     version: IntGauge,
     gateways: IntGauge,
 }
@@ -97,6 +100,22 @@
             ),
             &["outcome"],
         )?;
+        let room_refusals = IntCounterVec::new(
+            Opts::new(
+                "mimosaledge_room_refusals_total",
+                "Requests refused since endpoints that report no load have no room, by service \
+                 and whether the client seems to have been refused before.",
+            ),
+            &["service", "client"],
+        )?;
+        let top_workspaces = GaugeVec::new(
+            Opts::new(
+                "mimosaledge_top_workspace_requests",
+                "Recent requests at this gateway of the workspaces that send most, by rank; only \
+                 of services that lack room.",
+            ),
+            &["service", "rank"],
+        )?;
         let version =
             IntGauge::new("mimosaledge_config_version", "Version of the configuration in force.")?;
         let gateways = IntGauge::new("mimosaledge_gateways", "Gateways alive, this one included.")?;
@@ -111,6 +130,8 @@
         registry.register(Box::new(peer_rejected.clone()))?;
         registry.register(Box::new(forwards.clone()))?;
         registry.register(Box::new(permits.clone()))?;
+        registry.register(Box::new(room_refusals.clone()))?;
+        registry.register(Box::new(top_workspaces.clone()))?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(gateways.clone()))?;
         Ok(Metrics {
@@ -126,6 +147,8 @@
             peer_rejected,
             permits,
             forwards,
+            room_refusals,
+            top_workspaces,
             version,
             gateways,
         })
@@ -137,6 +160,18 @@
         self.gateways.set(gateways as i64);
     }
 
+    /// Sets the recent requests of the workspaces that send most to each of some services; others
+    /// are dropped.
+    pub(crate) fn set_top_workspaces(&self, services: &[(Name, Vec<f64>)]) {
+        self.top_workspaces.reset();
+        for (service, requests) in services {
+            for (at, requests) in requests.iter().enumerate() {
+                let rank = (at + 1).to_string();
+                self.top_workspaces.with_label_values(&[&**service, &rank]).set(*requests);
+            }
+        }
+    }
+
     /// Returns the current values of all metrics as text.
     ///
     /// # Errors
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -24,7 +24,7 @@
     attempts,
     dialect::{PromptPart, RequestMetadata},
     error_response::{Code, ErrorResponse},
-    forward,
+    fairness, forward,
     gateway::Gateway,
     handover::Handover,
     origins,
@@ -96,6 +96,7 @@
     let reaches_none =
         |group: &EndpointGroup| gateway.endpoint_table.borrow().reach_of(group).is_cut_off();
     let (mut is_cut_off, mut has_lost) = (false, false);
+    let mut workspace = None;
     let prepared = tokio::select! {
         prepared = prepare(gateway, head, metadata, body, arrived, handover) => prepared,
         () = gateway.drain.wait_for_answering() => Err(attempts::stopping_error(&attempt_id)),
@@ -103,6 +104,7 @@
     let result = match prepared {
         Ok(context) => {
             let group = context.group();
+            workspace = context.authorized.workspace.clone();
             is_cut_off = reaches_none(&group);
             let result = run_until_stopped(gateway, Rc::new(context)).await;
             has_lost = reaches_none(&group);
@@ -113,15 +115,17 @@
     cancel_log.finished = true;
     let response = result.unwrap_or_else(|error| {
         spdlog::info!(
-            "request: id={attempt_id} refused={:?} status={} retry_ms={:?} cut_off={is_cut_off} \
-             forwarded={} config={} config_age_ms={} elapsed_ms={}",
+            "request: id={attempt_id} refused={:?} status={} retry_ms={:?} \
+             cut_off={is_cut_off} forwarded={} config={} config_age_ms={} elapsed_ms={} \
+             workspace={}",
             error.code,
             error.status(),
             error.retry_ms,
             source == Source::Gateway,
             gateway.config_version(),
             gateway.config_age_ms(),
-            gateway.now().since(arrived)
+            gateway.now().since(arrived),
+            workspace.as_deref().unwrap_or_default()
         );
         let mut response = error.to_response(&*gateway.dialect, &attempt_id);
         if source == Source::Gateway && error.code == Code::NoEndpoint && has_lost {
@@ -194,6 +198,7 @@
     let fingerprint = fingerprint(&head, &metadata, &body);
     let shared_parts = shared_parts(&metadata.prompt);
     let size = gateway.permit_table.borrow_mut().record_size(&service, metadata.max_tokens);
+    let is_return = handover.is_none() && fairness::is_return(gateway, route, &metadata);
     let deadline = arrived + timeout_ms;
     Ok(RequestContext {
         head,
@@ -206,6 +211,7 @@
         fingerprint,
         shared_parts,
         is_forwarded: handover.is_some(),
+        is_return,
         sends: handover.unwrap_or_default().sends,
         size,
         arrived,
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -32,6 +32,8 @@
     pub(crate) shared_parts: Vec<u64>,
     /// Whether another gateway has handed the request over.
     pub(crate) is_forwarded: bool,
+    /// Whether the client seems to have been refused before.
+    pub(crate) is_return: bool,
     /// What that gateway has sent for the request.
     pub(crate) sends: Sends,
     /// Size of the request, compared to the others of the service.
@@ -51,6 +53,11 @@
         &self.authorized.route
     }
 
+    /// Returns the name of the workspace; it is empty if the request has none.
+    pub(crate) fn workspace(&self) -> &str {
+        self.authorized.workspace.as_deref().unwrap_or_default()
+    }
+
     /// Returns the endpoints that may serve the request.
     pub(crate) fn group(&self) -> EndpointGroup {
         EndpointGroup { service: self.service.clone(), build: self.build }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    build_records, dialect::Dialect, directory, drain::Phase, follow, follow_config,
+    build_records, dialect::Dialect, directory, drain::Phase, fairness, follow, follow_config,
     gateway::Gateway, gossip, listener, log_sink::LogSink, metrics::Metrics, permits, reach,
     request::Source, settings::Settings, socket, store::Store, sync,
 };
@@ -171,6 +171,7 @@
 fn run_maintenance(gateway: &Rc<Gateway>) {
     let now = gateway.now();
     permits::run_maintenance(gateway);
+    fairness::run_maintenance(gateway);
     reach::log_changes(gateway);
     gateway.forward_table.borrow_mut().close_expired(now);
     for handle in gateway.endpoint_table.borrow().handles() {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,15 +6,15 @@
 use mimosaledge_core::hash::hash64;
 use mimosaledge_policy::{
     RetryPolicy,
-    admission::{self, Progress},
+    admission::Progress,
     placement::{self, LoadLimit, Placement, Prefix},
     prefix_cache,
 };
 
 use crate::{
-    budget, claims::Claims, endpoint_handle::EndpointHandle, endpoint_table, gateway::Gateway,
-    permits, quarantine, request_context::RequestContext, retry_state::RetryState,
-    selected::Selected,
+    budget, claims::Claims, endpoint_handle::EndpointHandle, endpoint_table, fairness,
+    gateway::Gateway, permits, quarantine, request_context::RequestContext,
+    retry_state::RetryState, selected::Selected,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
@@ -37,7 +37,7 @@
 pub(crate) enum Selection {
     /// Send the request to this endpoint.
     Endpoint(Selected),
-    /// Every remaining engine is at its load limit.
+    /// Every remaining engine is at its load limit, or the service has no room for the request.
     Overloaded,
     /// No endpoint may be sent the request.
     Unavailable(Unavailable),
@@ -83,7 +83,11 @@
     retry_state: &mut RetryState,
     progress: Progress,
 ) -> Selection {
+    let is_first = !retry_state.has_tried();
     let selection = try_next_endpoint(gateway, context, retry_state, progress).await;
+    if is_first {
+        fairness::record_request(gateway, context, !matches!(selection, Selection::Overloaded));
+    }
     if let Selection::Unavailable(cause) = &selection
         && retry_state.has_tried()
     {
@@ -188,9 +192,14 @@
     let candidates =
         endpoint_table::to_candidates(&untried, settings, &loads, remaining_share, now);
     let limit = batch_slots(gateway, context).map(|slots| LoadLimit {
-        limit: admission::load_limit(policy, slots, context.authorized.priority, progress),
+        limit: fairness::load_limit(gateway, context, slots, progress),
         unreported: unreported.at_some_of(allowed_count, open_count),
     });
+    if limit.is_none()
+        && !fairness::is_admitted(gateway, context, retry_state, &untried, &candidates)
+    {
+        return Err(Selection::Overloaded);
+    }
     let hash = hash64(context.metadata.attempt_id.as_bytes());
     let running = |key| f64::from(loads.count_with_prefix(key) + 1);
     let prefix = context.prefix.map(|key| Prefix { key, running: running(key) });
