--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -209,6 +209,20 @@
     }
 }
 
+// A heartbeat goes to up to 100 gateways in a round.
+#[test]
+fn usage_of_a_service_that_lacks_room_takes_few_bytes() {
+    let usage = ServiceUsage {
+        service: u32::MAX,
+        total: RequestUsage::new(4_000.0, 4_000.0),
+        completed: u16::MAX,
+        returned: u8::MAX,
+        priorities: [u8::MAX; 4],
+        workspaces: vec![(u32::MAX, RequestUsage::new(4_000.0, 4_000.0)); 3],
+    };
+    assert!(postcard::to_stdvec(&usage).unwrap().len() <= 56);
+}
+
 #[test]
 fn request_for_a_permit_says_how_long_the_endpoint_stays_cold() {
     let samples = samples::messages().into_iter().map(|(_, it)| it);
--- a/crates/policy/tests/returns.rs
+++ b/crates/policy/tests/returns.rs
@@ -34,6 +34,15 @@
     }
 }
 
+// With full precedence every request would be refused once and then be late.
+#[test]
+fn new_requests_keep_half_of_their_admission_beside_as_many_that_return() {
+    for admission in [0.5, 0.7, 0.9] {
+        let of_new = prefer(admission, 0.5, false);
+        assert!(of_new >= admission / 2.0, "{admission}: {of_new}");
+    }
+}
+
 #[test]
 fn requests_of_workspaces_within_their_share_return_first() {
     let delays = |excess: f64| {
