--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
     dialect::Dialect,
     drain::Drain,
     endpoint_table::EndpointTable,
+    fairness_table::FairnessTable,
     forward_table::ForwardTable,
     loads::Loads,
     memory::Memory,
@@ -113,6 +114,7 @@
     pub(crate) permit_table: RefCell<PermitTable>,
     /// Cold endpoints that others are to be told of, and those that they have told of.
     pub(crate) warmup_news: Rc<WarmupNews>,
+    pub(crate) fairness: RefCell<FairnessTable>,
     /// When the configuration was last known to be current.
     pub(crate) config_confirmed: Cell<Millis>,
     /// When the endpoint list was last known to be current.
@@ -196,6 +198,7 @@
             peers: RefCell::new(peers),
             permit_table: RefCell::new(permit_table),
             warmup_news: Rc::default(),
+            fairness: RefCell::default(),
             config_confirmed: Cell::new(Millis(0)),
             list_confirmed: Cell::new(Millis(0)),
             list_read: Cell::default(),
@@ -282,6 +285,7 @@
             config.routes.len()
         );
         self.work_times.borrow_mut().retain(&config.routes);
+        self.fairness.borrow_mut().usual_deadlines.retain(&config.routes);
         *self.routes.borrow_mut() = Rc::new(RouteTable::from_config(&config));
         *self.config.borrow_mut() = Some(Rc::new(config));
         warmup::update_paces(self);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -113,6 +113,7 @@
         samples.truncate(MAX_SAMPLES);
     }
     let loads = gateway.loads.borrow();
+    let fairness = gateway.fairness.borrow();
     Heartbeat {
         ready: gateway.is_ready(),
         cut_off: gateway.is_cut_off(),
@@ -136,6 +137,7 @@
             warmups: warmup::own_news(gateway, MAX_WARMUPS),
             slow_endpoints: slow_endpoints(&table, is_large, now),
             response_times: if is_large { Vec::new() } else { untold_response_times(&table, now) },
+            usages: fairness.usages(now),
         },
         unreached: if gateway.is_cut_off() { Vec::new() } else { unreached_numbers(&table) },
     }
@@ -279,6 +281,7 @@
     drop(table);
     permits::apply_samples(gateway, &heartbeat.limits, now);
     warmup::apply_samples(gateway, &heartbeat.extension.warmups);
+    gateway.fairness.borrow_mut().apply(from, &heartbeat.extension, now);
     let summary = heartbeat.summary;
     let heard = gateway.peers.borrow_mut().record_heartbeat(from, version, heartbeat, now);
     if heard.has_become_ready {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 //! | `promises` | statuses that say that a request has not run |
 //! | `permits`, `permit`, `permit_table`, `claims` | keep the limits of endpoints with the other gateways |
 //! | `restrictions`, `endpoint_limits` | when an endpoint accepts requests, and how many |
+//! | `fairness`, `fairness_table` | share the room of services among workspaces |
 //! | `quarantine`, `crash_news` | finds out what crashes endpoints, refuses it, and tells of it |
 //! | `relay`, `arrival`, `upstream` | forwards a stream and resumes it at another endpoint |
 //! | `continuation` | which responses may continue a stream |
@@ -72,6 +73,8 @@
 mod error_response;
 mod evacuation;
 mod even_placement;
+mod fairness;
+mod fairness_table;
 mod follow;
 mod follow_config;
 mod forward;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,9 +1,10 @@
 //! Metrics of a gateway, in the Prometheus text format.
 
 use eyre::Result;
+use mimosaledge_core::Name;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 use crate::{evacuation::EvacuationState, load_metrics::LoadMetrics};
@@ -32,6 +33,8 @@
     pub(crate) held_bytes: IntGauge,
     pub(crate) client_connections: IntGauge,
     pub(crate) loads: LoadMetrics,
+    pub(crate) room_refusals: IntCounterVec,
+    top_workspaces: GaugeVec,
     version: IntGauge,
     gateways: IntGauge,
     evacuation_age: IntGaugeVec,
@@ -123,6 +126,22 @@
         let held_bytes = IntGauge::new("mimosaledge_held_bytes", "Bytes held for clients.")?;
         let client_connections =
             IntGauge::new("mimosaledge_client_connections", "Connections of clients.")?;
+        let room_refusals = IntCounterVec::new(
+            Opts::new(
+                "mimosaledge_room_refusals_total",
+                "Requests refused since endpoints that report no load have no room, by service \
+                 and whether the client seems to have been refused before.",
+            ),
+            &["service", "client"],
+        )?;
+        let top_workspaces = GaugeVec::new(
+            Opts::new(
+                "mimosaledge_top_workspace_requests",
+                "Recent requests at this gateway of the workspaces that send most, by rank; only \
+                 of services that lack room.",
+            ),
+            &["service", "rank"],
+        )?;
         let version =
             IntGauge::new("mimosaledge_config_version", "Version of the configuration in force.")?;
         let gateways = IntGauge::new("mimosaledge_gateways", "Gateways alive, this one included.")?;
@@ -159,6 +178,8 @@
         registry.register(Box::new(memory_decisions.clone()))?;
         registry.register(Box::new(held_bytes.clone()))?;
         registry.register(Box::new(client_connections.clone()))?;
+        registry.register(Box::new(room_refusals.clone()))?;
+        registry.register(Box::new(top_workspaces.clone()))?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(gateways.clone()))?;
         Ok(Metrics {
@@ -180,6 +201,8 @@
             held_bytes,
             client_connections,
             loads,
+            room_refusals,
+            top_workspaces,
             version,
             gateways,
             evacuation_age,
@@ -209,6 +232,18 @@
         self.cold_endpoints.set(count as i64);
     }
 
+    /// Sets the recent requests of the workspaces that send most to each of some services; others
+    /// are dropped.
+    pub(crate) fn set_top_workspaces(&self, services: &[(Name, Vec<f64>)]) {
+        self.top_workspaces.reset();
+        for (service, requests) in services {
+            for (at, requests) in requests.iter().enumerate() {
+                let rank = (at + 1).to_string();
+                self.top_workspaces.with_label_values(&[&**service, &rank]).set(*requests);
+            }
+        }
+    }
+
     /// Returns the current values of all metrics as text.
     ///
     /// # Errors
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
-    build_records, dialect::Dialect, directory, drain::Phase, evacuation, follow, follow_config,
-    gateway::Gateway, gossip, listener, log_sink::LogSink, metrics::Metrics, permits, reach,
-    request::Source, settings::Settings, socket, store::Store, sync, warmup,
+    build_records, dialect::Dialect, directory, drain::Phase, evacuation, fairness, follow,
+    follow_config, gateway::Gateway, gossip, listener, log_sink::LogSink, metrics::Metrics,
+    permits, reach, request::Source, settings::Settings, socket, store::Store, sync, warmup,
 };
 
 /// Interval between two runs of the maintenance tasks.
@@ -176,6 +176,7 @@
     evacuation::run_maintenance(gateway);
     warmup::run_maintenance(gateway);
     gateway.memory_report.update(gateway);
+    fairness::run_maintenance(gateway);
     reach::log_changes(gateway);
     gateway.forward_table.borrow_mut().close_expired(now);
     for handle in gateway.endpoint_table.borrow().handles() {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,14 +6,14 @@
 use mimosaledge_core::hash::hash64;
 use mimosaledge_policy::{
     RetryPolicy,
-    admission::{self, Progress},
+    admission::Progress,
     placement::{self, LoadLimit, Placement, Prefix},
     prefix_cache, slow_start,
 };
 
 use crate::{
     budget, claims::Claims, eligibility, endpoint_handle::EndpointHandle, endpoint_table,
-    evacuation, even_placement, gateway::Gateway, load_estimates::LoadEstimates, permits,
+    evacuation, even_placement, fairness, gateway::Gateway, load_estimates::LoadEstimates, permits,
     quarantine, request_context::RequestContext, retry_state::RetryState, selected::Selected,
 };
 
@@ -37,7 +37,7 @@
 pub(crate) enum Selection {
     /// Send the request to this endpoint.
     Endpoint(Selected),
-    /// Every remaining engine is at its load limit.
+    /// Every remaining engine is at its load limit, or the service has no room for the request.
     Overloaded,
     /// No endpoint may be sent the request.
     Unavailable(Unavailable),
@@ -83,7 +83,11 @@
     retry_state: &mut RetryState,
     progress: Progress,
 ) -> Selection {
+    let is_first = !retry_state.has_tried();
     let selection = try_next_endpoint(gateway, context, retry_state, progress).await;
+    if is_first {
+        fairness::record_request(gateway, context, !matches!(selection, Selection::Overloaded));
+    }
     if let Selection::Unavailable(cause) = &selection
         && retry_state.has_tried()
     {
@@ -194,9 +198,14 @@
     };
     let mut candidates = endpoint_table::to_candidates(&untried, settings, &estimates, &loads, now);
     let limit = batch_slots.map(|slots| LoadLimit {
-        limit: admission::load_limit(policy, slots, context.authorized.priority, progress),
+        limit: fairness::load_limit(gateway, context, policy, slots, progress),
         unreported: unreported.at_some_of(allowed_count, open_count),
     });
+    if limit.is_none()
+        && !fairness::is_admitted(gateway, context, retry_state, &untried, &candidates)
+    {
+        return Err(Selection::Overloaded);
+    }
     let ramps: Vec<f64> = untried.iter().map(|it| it.warmup().ramp(now)).collect();
     slow_start::raise_loads(&mut candidates, &ramps, limit.map(|it| it.limit));
     let hash = hash64(context.metadata.attempt_id.as_bytes());
--- a/crates/peer/src/heartbeat_extension.rs
+++ b/crates/peer/src/heartbeat_extension.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    service_usage::ServiceUsage,
     slowness_sample::{ResponseTimeSample, SlownessSample},
     warmup_sample::WarmupSample,
 };
@@ -30,6 +31,8 @@
     pub slow_endpoints: Vec<SlownessSample>,
     /// Response times of endpoints that report no load; only in a small fleet.
     pub response_times: Vec<ResponseTimeSample>,
+    /// Requests to services that lack room.
+    pub usages: Vec<ServiceUsage>,
 }
 
 impl HeartbeatExtension {
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -9,8 +9,8 @@
 use mimosaledge_core::{Millis, hash::hash32};
 use mimosaledge_peer::{
     Datagram, Error, EvacuationSummary, Heartbeat, HeartbeatExtension, Message, PermitRequest,
-    Refusal, Rejections, ResponseTimeSample, SlownessSample, SuspectReport, SyncRequest,
-    SyncResponse, Version, WarmupSample, datagram,
+    Refusal, Rejections, RequestUsage, ResponseTimeSample, ServiceUsage, SlownessSample,
+    SuspectReport, SyncRequest, SyncResponse, Version, WarmupSample, datagram,
     sync::{self, SyncMessage},
 };
 use mimosaledge_policy::{
@@ -186,6 +186,14 @@
         warmups: vec![WarmupSample { endpoint: 7, left_ms: 2_900 }],
         slow_endpoints: vec![SlownessSample::new(5, Slowness::new(2.5), 300)],
         response_times: vec![ResponseTimeSample::new(6, ResponseSample::of_one(40), 200)],
+        usages: vec![ServiceUsage {
+            service: 5,
+            total: RequestUsage::new(20.0, 12.5),
+            completed: 160,
+            returned: 30,
+            priorities: [0, 100, 155, 0],
+            workspaces: vec![(11, RequestUsage::new(15.0, 7.5))],
+        }],
     };
     for unreached in [vec![], vec![1, 2]] {
         let heartbeat = Heartbeat {
@@ -205,6 +213,20 @@
     }
 }
 
+// A heartbeat goes to up to 100 gateways in a round.
+#[test]
+fn usage_of_a_service_that_lacks_room_takes_few_bytes() {
+    let usage = ServiceUsage {
+        service: u32::MAX,
+        total: RequestUsage::new(4_000.0, 4_000.0),
+        completed: u16::MAX,
+        returned: u8::MAX,
+        priorities: [u8::MAX; 4],
+        workspaces: vec![(u32::MAX, RequestUsage::new(4_000.0, 4_000.0)); 3],
+    };
+    assert!(postcard::to_stdvec(&usage).unwrap().len() <= 56);
+}
+
 #[test]
 fn request_for_a_permit_says_how_long_the_endpoint_stays_cold() {
     let samples = samples::messages().into_iter().map(|(_, it)| it);
