Keep what gateways set from the names in a Connection header

Cause: the names in a client's Connection header were removed after the gateway's own headers had been set, so that a client took away its workspace, the expected endpoint and the deadline; and its Host and API key when the request was handed over. An endpoint's Connection header took the seal and the ID from its response. Headers with names that gateways use among themselves were passed on: gateway-build reached other gateways, and an endpoint's gateway-no-endpoint made the other gateway take a request that had run for one that had not.

What concerns one connection is removed first, and the gateway's headers are set afterwards. The names in a Connection header do not apply to what the recipient has to know: the dialect says which these are, beside Host and Content-Type. The gateways' own headers are dropped from what clients and endpoints send.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -213,8 +213,10 @@
         last_event,
         fetch_from,
     };
-    let mut headers = gateway.dialect.encode_forward(&context.head.headers, &metadata);
-    strip_hop_by_hop_headers(&mut headers);
+    // What the client names must not remove what is set here.
+    let mut headers = context.head.headers.clone();
+    strip_hop_by_hop_headers(&mut headers, &*gateway.dialect);
+    let headers = gateway.dialect.encode_forward(&headers, &metadata);
     let mut request = Request::new(Full::new(context.body.bytes().clone()));
     *request.method_mut() = context.head.method.clone();
     *request.uri_mut() = origin_form(&context.head.uri);
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -307,7 +307,7 @@
         context.is_forwarded,
         now.since(context.arrived)
     );
-    strip_hop_by_hop_headers(&mut head.headers);
+    strip_hop_by_hop_headers(&mut head.headers, &*gateway.dialect);
     Ok(Response::from_parts(head, body.into_reply()))
 }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddrV4;
 
-use hyper::{HeaderMap, http::request, http::response};
+use hyper::{HeaderMap, header::HeaderName, http::request, http::response};
 use mimosaledge_core::Name;
 
 use crate::error_response::ErrorResponse;
@@ -95,6 +95,10 @@
     /// headers.
     fn encode_forward(&self, client: &HeaderMap, forward: &ForwardMetadata) -> HeaderMap;
 
+    /// Returns whether a header is meant for the final recipient of a message, so that a
+    /// `Connection` header cannot remove it on the way.
+    fn is_end_to_end(&self, name: &HeaderName) -> bool;
+
     /// Decodes the head of an endpoint's response.
     fn decode_response(&self, head: &response::Parts) -> ResponseMetadata;
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -183,7 +183,7 @@
     };
     let (mut head, body) = response.into_parts();
     let is_rejected = head.headers.remove(NO_ENDPOINT_HEADER).is_some();
-    strip_hop_by_hop_headers(&mut head.headers);
+    strip_hop_by_hop_headers(&mut head.headers, &*gateway.dialect);
     let body = PeerBody { gateway: gateway.clone(), context: context.clone(), connection, body };
     if context.route().streaming && head.status.is_success() {
         return Ok(Response::from_parts(head, body.into_stream()));
@@ -203,7 +203,7 @@
     *request.uri_mut() = context.head.uri.clone();
     *request.version_mut() = Version::HTTP_11;
     let mut headers = context.head.headers.clone();
-    strip_hop_by_hop_headers(&mut headers);
+    strip_hop_by_hop_headers(&mut headers, &*gateway.dialect);
     let deadline_ms = Some(context.remaining_ms(gateway.now()));
     let version = gateway.peers.borrow().version_of(peer);
     Handover { deadline_ms, sends, build: context.build }.insert_into(&mut headers, version);
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -17,6 +17,9 @@
 /// Key of the build that began the stream that the request resumes.
 const BUILD_HEADER: HeaderName = HeaderName::from_static("gateway-build");
 
+/// All headers of a request that is handed over.
+pub(crate) const HEADERS: [HeaderName; 3] = [DEADLINE_HEADER, SENDS_HEADER, BUILD_HEADER];
+
 /// The state of a request that is handed over.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Handover {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -70,7 +70,7 @@
     mut open: OpenResponse,
     retry_state: RetryState,
 ) -> Response<ReplyBody> {
-    strip_hop_by_hop_headers(&mut open.head.headers);
+    strip_hop_by_hop_headers(&mut open.head.headers, &*gateway.dialect);
     let head = open.head.clone();
     let retry = context.route().retry;
     let splitter = match retry {
