Let small buffers start small, and count the parts of prompts

A body of unknown length began with a buffer of 16 KB; it now begins with 4 KB and grows by a quarter and 4 KB. The parts of a prompt, which take more memory than the header that names them, count in a request's grant.

--- a/crates/gateway/src/body_buffer.rs
+++ b/crates/gateway/src/body_buffer.rs
@@ -13,7 +13,7 @@
 pub(crate) const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Size up to which a body of known length is allocated at once, and step by which a buffer
 /// grows at least, in bytes.
-const STEP_BYTES: usize = 16 << 10;
+const STEP_BYTES: usize = 4 << 10;
 
 /// Why a body was not received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -39,6 +39,8 @@
 const CONFIG_RETRY_MS: u64 = 300;
 /// Memory that an endpoint's connection takes while a request is served, in bytes.
 const WORK_BYTES: usize = 32 << 10;
+/// Memory that each part of a prompt takes beside the head, in bytes.
+const PART_BYTES: usize = 32;
 
 /// Who has sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -174,7 +176,7 @@
     let timeout_ms = metadata.deadline_ms.unwrap_or(u64::MAX).min(authorized.route.timeout_ms);
     client.set_workspace(authorized.workspace.clone());
     let memory_error = || memory_error(gateway, &metadata.attempt_id);
-    let memory = grant_work(client, &head).ok_or_else(memory_error)?;
+    let memory = grant_work(client, &head, &metadata).ok_or_else(memory_error)?;
     let receiving = receive_body(gateway, client, body);
     let body = match timeout(Duration::from_millis(timeout_ms), receiving).await {
         Ok(Ok(body)) => body,
@@ -228,13 +230,18 @@
 }
 
 /// Returns a grant for the head of a request and for the connection to its endpoint.
-fn grant_work(client: &Rc<ClientMemory>, head: &Parts) -> Option<Grant> {
+fn grant_work(
+    client: &Rc<ClientMemory>,
+    head: &Parts,
+    metadata: &RequestMetadata,
+) -> Option<Grant> {
     let header_bytes =
         |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len();
     // What is sent to the endpoint is a second copy.
     let head_bytes = 2 * head.headers.iter().map(header_bytes).sum::<usize>();
     let mut grant = client.grant();
-    grant.grow_to(head_bytes + WORK_BYTES).ok()?;
+    let part_bytes = PART_BYTES * metadata.prompt.len();
+    grant.grow_to(head_bytes + part_bytes + WORK_BYTES).ok()?;
     Some(grant)
 }
 
