--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -242,6 +242,7 @@
         last_event,
         fetch_from,
     };
+    // What the client names must not remove what is set here.
     let mut client = context.head.headers.clone();
     strip_hop_by_hop_headers(&mut client, &*gateway.dialect);
     let headers = gateway.dialect.encode_forward(client, &metadata);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -109,14 +109,14 @@
     /// Decodes the head of a client's request.
     fn decode_request(&self, head: &request::Parts) -> RequestMetadata;
 
-    /// Returns whether a header concerns a request or response beyond one connection, although
-    /// its sender may say otherwise.
-    fn is_end_to_end(&self, name: &HeaderName) -> bool;
-
     /// Builds the headers of a request to an endpoint from the client's headers, without those
     /// of its connection.
     fn encode_forward(&self, client: HeaderMap, forward: &ForwardMetadata) -> HeaderMap;
 
+    /// Returns whether a header is meant for the final recipient of a message, so that a
+    /// `Connection` header cannot remove it on the way.
+    fn is_end_to_end(&self, name: &HeaderName) -> bool;
+
     /// Decodes the head of an endpoint's response.
     fn decode_response(&self, head: &response::Parts) -> ResponseMetadata;
 
