--- a/crates/gateway/src/fairness.rs
+++ b/crates/gateway/src/fairness.rs
@@ -100,6 +100,10 @@
     candidates: &[Candidate],
 ) -> bool {
     let is_sampled = gateway.loads.borrow().is_sampled();
+    // Without any endpoint the request is refused for that reason.
+    if handles.is_empty() {
+        return true;
+    }
     if !gateway.settings.policy.limit_queues || is_sampled || retry_state.has_tried() {
         return true;
     }
