Let refused requests come back over the whole range again

A workspace beyond its share had a fifth of an engine's limit closed.

Change: the range is as before for all; only a workspace beyond its share loses part of its first half. A tenth of an engine's limit is closed.

--- a/crates/gateway/src/fairness.rs
+++ b/crates/gateway/src/fairness.rs
@@ -29,7 +29,7 @@
 const RANDOM_SALT: u64 = 0x6661_6972;
 /// Share of an engine's load limit that is closed to a workspace that takes all of it beyond its
 /// share.
-const EXCESS_BAND: f64 = 0.2;
+const EXCESS_BAND: f64 = 0.1;
 
 /// Returns whether the client of a request seems to have been refused before.
 pub(crate) fn is_return(gateway: &Gateway, route: &Route, metadata: &RequestMetadata) -> bool {
--- a/crates/policy/src/returns.rs
+++ b/crates/policy/src/returns.rs
@@ -68,12 +68,11 @@
 /// Returns the delay after which a refused request should be sent again, in milliseconds, if its
 /// client waits for another `remaining_ms`.
 ///
-/// Requests of workspaces that get their share return in the first half of the range, the others
-/// the later the more their workspace takes beyond it (`excess`, from 0 to 1). A hash of the
-/// attempt's identifier spreads the requests of one workspace.
+/// A hash of the attempt's identifier spreads the requests over the range; the more a workspace
+/// takes beyond its share (`excess`, from 0 to 1), the less of the first half is left to it.
 pub fn delay_ms(remaining_ms: u64, excess: f64, attempt_id: &str) -> u64 {
     let (shortest, longest) = DELAY_RANGE;
     let spread = (hash64(attempt_id.as_bytes()) >> 11) as f64 / (1u64 << 53) as f64;
-    let rank = (excess.clamp(0.0, 1.0) + spread) / 2.0;
+    let rank = spread + (1.0 - spread) * excess.clamp(0.0, 1.0) / 2.0;
     (remaining_ms as f64 * (shortest + (longest - shortest) * rank)) as u64
 }
