Leave less of a failure rate to chance

Cause: after a time in which all endpoints failed nearly half of their requests, each rate was known so badly that two of three endpoints that went on failing were avoided late.

Each of two rates may now be off by 0.75 standard deviations.

--- a/crates/policy/src/failure_excess.rs
+++ b/crates/policy/src/failure_excess.rs
@@ -6,8 +6,8 @@
 
 use crate::health::Tally;
 
-/// Standard deviations by which a failure rate may be off by chance.
-const MARGIN: f64 = 1.5;
+/// Standard deviations by which each of two failure rates may be off by chance.
+const MARGIN: f64 = 0.75;
 /// Share of requests for which an endpoint is passed over, as a multiple of its excess.
 const AVOIDANCE: f64 = 10.0;
 /// Greatest share of requests for which an endpoint is passed over, so that the others show
