Avoid an endpoint at once after a response that broke off

Cause: errors that an endpoint returns and responses that break off counted alike, and what chance explains was left out of both.

Not whole: other gateways learn of it with their failure tallies only.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -142,6 +142,7 @@
         Err(SendError::ConnectionLost { idle_ms, io }) => {
             reach::start_check(gateway, &context.service);
             handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
+            handle.speed.record_broken(now);
             quarantine::check_for_crash(gateway, context, handle, None);
             let cause = format!("connection broken, idle_ms={idle_ms:?}, io={io:?}");
             return Err(log_failure(gateway, context, handle, AttemptError::Unknown, &cause));
@@ -151,6 +152,7 @@
     let metadata = gateway.dialect.decode_response(&head);
     if !is_own_response(context, &connection, &metadata) {
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
+        handle.speed.record_broken(now);
         let cause = match metadata.attempt_id {
             Some(_) => "wrong attempt id",
             None => "no attempt id",
@@ -180,6 +182,7 @@
     }
     if head.status.is_success() && !metadata.sealed {
         handle.record_outcome(&gateway.settings.policy, Outcome::Failed, now);
+        handle.speed.record_broken(now);
         return Err(log_failure(gateway, context, handle, AttemptError::Unknown, "missing seal"));
     }
     if metadata.load.is_none() {
--- a/crates/gateway/src/responsiveness.rs
+++ b/crates/gateway/src/responsiveness.rs
@@ -5,6 +5,7 @@
 use mimosaledge_core::Millis;
 use mimosaledge_peer::{ResponseTimeSample, SlownessSample};
 use mimosaledge_policy::{
+    broken_responses::BrokenResponses,
     response_times::{ResponseSample, ResponseTimes},
     slowness::Slowness,
 };
@@ -38,6 +39,7 @@
     last_slow: Cell<Option<Millis>>,
     times: Cell<ResponseTimes>,
     untold: Cell<Untold>,
+    broken: Cell<BrokenResponses>,
 }
 
 impl Responsiveness {
@@ -76,6 +78,18 @@
         is_news.then(|| SlownessSample::new(node, named.slowness, age_ms))
     }
 
+    /// Records that a response of the endpoint broke off or was not its own.
+    pub(crate) fn record_broken(&self, now: Millis) {
+        let mut broken = self.broken.get();
+        broken.record(now);
+        self.broken.set(broken);
+    }
+
+    /// Returns the broken responses that this gateway got.
+    pub(crate) fn broken(&self) -> BrokenResponses {
+        self.broken.get()
+    }
+
     /// Records that the endpoint responded to this gateway after `duration_ms`.
     pub(crate) fn record_response(&self, duration_ms: u64, now: Millis) {
         let one = ResponseSample::of_one(duration_ms);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`load`] | estimates of loads from counts that are partly out of date |
 //! | [`load_forecast`] | loads now, from counts and reports of the past |
 //! | [`slowness`], [`response_times`] | endpoints that are slow just now |
+//! | [`broken_responses`] | endpoints whose responses break off |
 //! | [`failure_excess`] | endpoints that fail more often than the others |
 //! | [`even_choice`] | choice by many gateways that know the same old loads |
 //! | [`placement`] | choice of the endpoint for a request, within the load bound |
@@ -32,6 +33,7 @@
 
 pub mod admission;
 pub mod arrival_rate;
+pub mod broken_responses;
 mod build_id;
 pub mod builds;
 pub mod concurrency;
--- a/crates/policy/tests/slowness.rs
+++ b/crates/policy/tests/slowness.rs
@@ -3,6 +3,7 @@
 use mimosaledge_core::{Millis, hash::hash64};
 use mimosaledge_policy::{
     PolicySettings,
+    broken_responses::{self, BrokenResponses},
     even_choice::{Backlog, choose, shares},
     failure_excess::passed_over,
     health::Tally,
@@ -58,6 +59,18 @@
     one_of_which_nothing_else_is_known_is_avoided: [(0.0, 9.0), (30.0, 0.0), (30.0, 0.0)] => [0];
 }
 
+#[test]
+fn endpoint_whose_response_broke_off_is_avoided_for_a_while() {
+    let now = Millis(10_000);
+    let mut endpoints = [BrokenResponses::default(); 2];
+    endpoints[0].record(now);
+    let avoided = broken_responses::passed_over(&endpoints, now);
+    assert!(avoided[0] > 0.75 && avoided[1] == 0.0, "{avoided:?}");
+    assert!(broken_responses::passed_over(&endpoints, now + 12_000)[0] < 0.05);
+    endpoints[1].record(now);
+    assert_eq!(broken_responses::passed_over(&endpoints, now), [0.0, 0.0]);
+}
+
 #[test]
 fn older_news_spreads_requests_more_evenly() {
     let loads = [1.0, 4.0, 4.0];
