Do not let news of cold endpoints go round, and count them at issuers that know

What a gateway had only heard of a cold endpoint it told on as its own, since evidence of its own came first; each hop added the delay of a datagram. Gateways now tell until when they know it themselves. The new case gateways_that_tell_each_other_do_not_prolong_it has no form before, since it asks for that time. An issuer that does not know how a service's endpoints start, or is of an earlier build, issued any number of permits of a cold one: now none. A permit request that says nothing of cold no longer ends it. An endpoint whose data centre is taken back while it is not listed counts as cold when it is listed again.

--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -134,8 +134,9 @@
             self.settings.address,
             self.clock,
         );
-        evacuation::mark_endpoints(self);
+        let returned = evacuation::mark_endpoints(self);
         warmup::update_paces(self);
+        warmup::mark_returned(self, returned.into_iter());
         warmup::apply_early_samples(self);
         self.builds.borrow_mut().record(endpoints.iter(), self.now());
         reach::start_probes(self);
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -7,7 +7,7 @@
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use mimosaledge_core::Millis;
-use mimosaledge_peer::{EndpointLimits, LimitSample, Message, PermitRequest};
+use mimosaledge_peer::{EndpointLimits, LimitSample, Message, PermitRequest, Version};
 use mimosaledge_policy::{
     concurrency::Holder,
     permits::{Claim, Decision},
@@ -85,6 +85,11 @@
     claim: Claim,
     ttl_ms: u64,
 ) -> (u32, Decision) {
+    let knows_cold = gateway.peers.borrow().version_of(issuer) >= Version::EXTENSIONS;
+    if handle.is_cold() && !knows_cold {
+        // It would issue any number of permits.
+        return (0, Decision::Denied(WRONG_ISSUER_RETRY_MS));
+    }
     let now = gateway.now();
     let limits = handle.to_limit_sample(now);
     let warmup_ms = u32::try_from(handle.warmup().left_ms(now)).unwrap_or(u32::MAX);
@@ -104,11 +109,15 @@
 pub(crate) fn handle_request(gateway: &Gateway, from: Ipv4Addr, request: &PermitRequest) {
     apply_samples(gateway, &[request.limits], gateway.now());
     let handle = gateway.endpoint_table.borrow().find(request.endpoint);
-    if let Some(handle) = &handle {
+    if let Some(handle) = handle.as_ref().filter(|_| request.warmup_ms > 0) {
         warmup::apply_sample(handle, request.warmup_ms);
     }
     let holder = (from, request.number);
     let decision = match handle {
+        // This gateway does not know yet how the endpoints of the service start.
+        Some(handle) if request.warmup_ms > 0 && !handle.is_cold() => {
+            Decision::Denied(WRONG_ISSUER_RETRY_MS)
+        }
         Some(handle) => decide(gateway, &handle, request.claim, holder, request.ttl_ms),
         None => Decision::Denied(WRONG_ISSUER_RETRY_MS),
     };
--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -126,8 +126,9 @@
 /// Returns the endpoints that this gateway knows to be cold, for a heartbeat with at most `count`.
 pub(crate) fn own_news(gateway: &Gateway, count: usize) -> Vec<WarmupSample> {
     let table = gateway.endpoint_table.borrow();
-    let is_news = |it: &&Rc<EndpointHandle>| it.warmup().is_own_news(it.now());
-    table.handles().filter(is_news).take(count).map(|it| to_sample(it)).collect()
+    let left_ms = |it: &Rc<EndpointHandle>| it.warmup().own_left_ms(it.now());
+    let known = table.handles().filter(|it| left_ms(it) > 0).take(count);
+    known.map(|it| sample_of(it, left_ms(it))).collect()
 }
 
 /// Sends the cold endpoints to a gateway that has joined or become ready.
@@ -154,7 +155,10 @@
 }
 
 fn to_sample(handle: &EndpointHandle) -> WarmupSample {
-    let left_ms = handle.warmup().left_ms(handle.now());
+    sample_of(handle, handle.warmup().left_ms(handle.now()))
+}
+
+fn sample_of(handle: &EndpointHandle, left_ms: u64) -> WarmupSample {
     let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
     WarmupSample { endpoint: handle.node() as u32, left_ms }
 }
--- a/crates/gateway/src/warmup_news.rs
+++ b/crates/gateway/src/warmup_news.rs
@@ -59,6 +59,7 @@
         now: Millis,
     ) -> Vec<WarmupSample> {
         let mut early = self.early.borrow_mut();
+        early.retain(|_, (_, at)| now.since(*at) < RETENTION_MS);
         let listed: Vec<u32> = early.keys().copied().filter(|it| is_listed(*it)).collect();
         let taken = listed.iter().filter_map(|it| early.remove(it));
         let to_current = |(sample, at): (WarmupSample, Millis)| {
--- a/crates/policy/src/slow_start.rs
+++ b/crates/policy/src/slow_start.rs
@@ -34,7 +34,7 @@
 
 impl From<&SlowStart> for Pace {
     fn from(it: &SlowStart) -> Pace {
-        Pace { duration_ms: it.duration_ms, rate: it.rate }
+        Pace { duration_ms: it.duration_ms.min(MAX_LEFT_MS), rate: it.rate }
     }
 }
 
@@ -59,6 +59,8 @@
     /// When it was first known to be cold.
     cold_from: Millis,
     cold_until: Millis,
+    /// Until when this gateway knows from itself, or from the entry, that it is cold.
+    own_until: Millis,
     evidence: Evidence,
 }
 
@@ -69,6 +71,7 @@
             pace: None,
             cold_from: Millis::default(),
             cold_until: Millis::default(),
+            own_until: Millis::default(),
             evidence: Evidence::Entry,
         }
     }
@@ -91,8 +94,9 @@
     /// Applies that the endpoint has probably started at `now`; returns whether that is news.
     pub fn find(&mut self, now: Millis) -> bool {
         let is_news = self.doubt(now);
-        if self.pace.is_some() {
+        if let Some(pace) = self.pace {
             self.evidence = Evidence::Found(now);
+            self.own_until = now + pace.duration_ms;
         }
         is_news
     }
@@ -118,6 +122,7 @@
         let until = now + left_ms.min(MAX_LEFT_MS);
         if until > self.cold_until && left_ms > 0 {
             let is_news = self.prolong(until, now);
+            self.own_until = until;
             if let Evidence::Novelty = self.evidence {
                 self.evidence = Evidence::Entry;
             }
@@ -130,6 +135,7 @@
         };
         if is_newer {
             self.cold_until = self.cold_until.min(until);
+            self.own_until = self.cold_until;
             self.evidence = Evidence::Entry;
         }
         false
@@ -176,11 +182,12 @@
         self.cold_from
     }
 
-    /// Returns whether this gateway knows that it is cold from itself, or from its entry, and not
-    /// only from another gateway or because it is new.
-    pub fn is_own_news(&self, now: Millis) -> bool {
-        let is_own = matches!(self.evidence, Evidence::Entry | Evidence::Found(_));
-        is_own && self.is_cold(now)
+    /// Returns the time for which this gateway knows from itself, or from its entry, that it stays
+    /// cold, in milliseconds.
+    ///
+    /// What it has only heard is not passed on: each hop would add the delay of a datagram.
+    pub fn own_left_ms(&self, now: Millis) -> u64 {
+        self.pace.map_or(0, |_| self.own_until.min(self.cold_until).since(now))
     }
 
     /// Returns how far its load still has to rise to that of the others: 1 while it is cold, then
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -25,6 +25,7 @@
     news_prolongs_and_does_not_shorten => news_case();
     only_what_a_gateway_knows_itself_is_told_again => own_news_case();
     endpoint_is_not_believed_to_stay_cold_forever => odd_entry_case();
+    gateways_that_tell_each_other_do_not_prolong_it => rumour_case();
     service_without_slow_start_has_no_cold_endpoints => no_pace_case();
     load_rises_without_a_step => ramp_case();
     cold_endpoint_draws_no_more_than_the_mean => mean_case();
@@ -44,6 +45,27 @@
     warmup
 }
 
+/// Three gateways find an endpoint to be back and tell each other every second, with a delay.
+fn rumour_case() {
+    let delay_ms = 200;
+    let mut gateways = [known(), known(), known()];
+    for warmup in &mut gateways {
+        warmup.find(START);
+    }
+    for second in 1..20 {
+        let sent = START + second * 1_000;
+        let told = gateways.map(|it| it.own_left_ms(sent));
+        for warmup in &mut gateways {
+            for left_ms in told {
+                warmup.apply_sample(left_ms, sent + delay_ms);
+            }
+        }
+    }
+    for warmup in gateways {
+        assert!(!warmup.is_cold(START + PACE.duration_ms + delay_ms), "{warmup:?}");
+    }
+}
+
 fn novelty_case() {
     assert_eq!(appeared().left_ms(START), 3_000);
     assert!(!appeared().is_cold(START + 3_000));
@@ -93,13 +115,13 @@
         let mut warmup = known();
         change(&mut warmup);
         assert!(warmup.is_cold(START));
-        warmup.is_own_news(START)
+        warmup.own_left_ms(START) > 0
     };
     assert!(after(|it| assert!(it.find(START))));
     assert!(after(|it| assert!(it.apply_entry(2_000, None, START))));
     assert!(!after(|it| assert!(it.doubt(START))));
     assert!(!after(|it| assert!(it.apply_sample(2_000, START))));
-    assert!(!appeared().is_own_news(START));
+    assert!(appeared().own_left_ms(START) == 0);
 }
 
 fn odd_entry_case() {
