Let only connections give way that free what is short

Found by a review that read the part. When only large holdings were short, idle connections of ordinary clients gave way first, and freed nothing of it. A response for which this gateway has no memory was asked for again at other endpoints, which would have met the same lack.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -79,13 +79,15 @@
     Unknown,
     /// The request may have run; the response timed out.
     Silent,
+    /// The request has run; this gateway has no memory for the response.
+    NoMemory,
 }
 
 impl AttemptError {
     fn metric_label(self) -> &'static str {
         match self {
             AttemptError::Unsent | AttemptError::NotRun => "not_run",
-            AttemptError::Unknown => "unknown",
+            AttemptError::Unknown | AttemptError::NoMemory => "unknown",
             AttemptError::Silent => "silent",
         }
     }
@@ -192,7 +194,7 @@
         handle.speed.record_broken(now);
         return Err(log_failure(gateway, context, handle, AttemptError::Unknown, "missing seal"));
     }
-    if metadata.load.is_none() {
+    if metadata.load.is_none() && head.status.is_success() {
         handle.speed.record_response(now.since(in_flight.started()), now);
     }
     let framing = Framing::of(&head.headers);
--- a/crates/gateway/src/retry_state.rs
+++ b/crates/gateway/src/retry_state.rs
@@ -44,7 +44,9 @@
         match error {
             AttemptError::Unsent => self.sends.sent = self.sends.sent.saturating_sub(1),
             AttemptError::NotRun => {}
-            AttemptError::Unknown | AttemptError::Silent => self.record_run(),
+            AttemptError::Unknown | AttemptError::Silent | AttemptError::NoMemory => {
+                self.record_run();
+            }
         }
     }
 
--- a/crates/policy/src/byte_budget.rs
+++ b/crates/policy/src/byte_budget.rs
@@ -76,6 +76,17 @@
     large_by_workspace: HashMap<Name, usize>,
 }
 
+/// Which connections may give way.
+#[derive(Debug, Clone, Copy)]
+enum Victims<'a> {
+    /// Any.
+    All,
+    /// Those that hold more than small requests do.
+    Large,
+    /// Those of them that belong to a workspace, or to none.
+    LargeOf(Option<&'a Name>),
+}
+
 impl ByteBudget {
     /// Creates a budget of which nothing is used.
     pub fn new(limits: MemoryLimits) -> ByteBudget {
@@ -122,7 +133,7 @@
         let max_count = self.limits.connections + reserved;
         let id = ConnectionId(self.next_id);
         let bytes = self.limits.connection_bytes;
-        let room = self.make_room(id, None, now, victims, |budget| {
+        let room = self.make_room(id, Victims::All, now, victims, |budget| {
             budget.count < max_count && budget.total + bytes <= budget.limits.total_bytes
         });
         if room.is_err() {
@@ -198,13 +209,11 @@
         let workspace = holding.workspace.clone();
         let (small, first) = (self.limits.small_bytes, victims.len());
         let large = large_part(holding.bytes + bytes, small) - large_part(holding.bytes, small);
-        self.make_room(id, workspace.as_ref(), now, victims, |budget| {
-            budget.large_of(workspace.as_ref()) + large <= budget.limits.workspace_bytes
-                || large == 0
-        })?;
-        let result = self.make_room(id, None, now, victims, |budget| {
-            budget.total + bytes <= budget.limits.total_bytes
-                && (budget.large + large <= budget.limits.large_bytes || large == 0)
+        let result = self.make_large_room(id, workspace.as_ref(), large, now, victims);
+        let result = result.and_then(|()| {
+            self.make_room(id, Victims::All, now, victims, |budget| {
+                budget.total + bytes <= budget.limits.total_bytes
+            })
         });
         match result {
             Ok(()) => self.update(id, |it| it.bytes += bytes),
@@ -218,18 +227,39 @@
         self.update(id, |it| it.bytes -= bytes);
     }
 
-    /// Lets connections give way, of `workspace` if it is given, until `fits` holds.
-    fn make_room(
+    /// Lets connections with large holdings give way until `large` more bytes of them fit, of
+    /// the workspace and in all.
+    fn make_large_room(
         &mut self,
         id: ConnectionId,
         workspace: Option<&Name>,
+        large: usize,
+        now: Millis,
+        victims: &mut Vec<Victim>,
+    ) -> Result<(), NoRoom> {
+        if large == 0 {
+            return Ok(());
+        }
+        self.make_room(id, Victims::LargeOf(workspace), now, victims, |budget| {
+            budget.large_of(workspace) + large <= budget.limits.workspace_bytes
+        })?;
+        self.make_room(id, Victims::Large, now, victims, |budget| {
+            budget.large + large <= budget.limits.large_bytes
+        })
+    }
+
+    /// Lets connections of `kind` give way until `fits` holds.
+    fn make_room(
+        &mut self,
+        id: ConnectionId,
+        kind: Victims<'_>,
         now: Millis,
         victims: &mut Vec<Victim>,
         fits: impl Fn(&ByteBudget) -> bool,
     ) -> Result<(), NoRoom> {
         let first = victims.len();
         while !fits(self) {
-            let Some(victim) = self.find_victim(id, workspace, now) else {
+            let Some(victim) = self.find_victim(id, kind, now) else {
                 self.restore(victims, first);
                 return Err(NoRoom);
             };
@@ -240,25 +270,30 @@
     }
 
     /// Returns the connection that has made no progress for the longest time.
-    fn find_victim(
-        &self,
-        id: ConnectionId,
-        workspace: Option<&Name>,
-        now: Millis,
-    ) -> Option<Victim> {
+    fn find_victim(&self, id: ConnectionId, kind: Victims<'_>, now: Millis) -> Option<Victim> {
         let is_stalled = |it: &Holding| {
             it.stage != Stage::Working
                 && !it.is_leaving
                 // It may be about to carry a request.
                 && !(it.is_gateway && it.stage == Stage::Waiting)
                 && now.since(it.progress_at) >= self.limits.stall_ms
-                && workspace.is_none_or(|name| it.workspace.as_ref() == Some(name))
+                && self.frees_what_is_short(it, kind)
         };
         let stalled = self.holdings.iter().filter(|(other, it)| **other != id && is_stalled(it));
         let (id, holding) = stalled.min_by_key(|(_, it)| it.progress_at)?;
         Some(Victim { id: *id, stage: holding.stage })
     }
 
+    /// Returns whether it helps if this connection gives way.
+    fn frees_what_is_short(&self, holding: &Holding, kind: Victims<'_>) -> bool {
+        let is_large = || large_part(holding.bytes, self.limits.small_bytes) > 0;
+        match kind {
+            Victims::All => true,
+            Victims::Large => is_large(),
+            Victims::LargeOf(workspace) => is_large() && holding.workspace.as_ref() == workspace,
+        }
+    }
+
     /// Returns the oldest connection that works on a request, if it is not its last one yet.
     fn find_last(&mut self) -> Option<Victim> {
         let is_busy = |it: &Holding| it.stage == Stage::Working && !it.is_last;
--- a/crates/policy/src/memory_limits.rs
+++ b/crates/policy/src/memory_limits.rs
@@ -54,7 +54,7 @@
     ) -> MemoryLimits {
         let memory_mb = memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
         let max_fds = max_fds.unwrap_or(DEFAULT_MAX_FDS);
-        let total_bytes = share_of((memory_mb << 20) as usize, settings.held_share);
+        let total_bytes = share_of(memory_mb.saturating_mul(1 << 20) as usize, settings.held_share);
         let large_bytes = share_of(total_bytes, 1.0 - SMALL_SHARE);
         let usable_fds = max_fds - RESERVED_FDS.min(max_fds / 2);
         let by_fds = (usable_fds / FDS_PER_CONNECTION) as usize;
