Limit a service without load reports only where enough is known

Found by a review that read the part. Requests were refused while slots were free, at a service whose work takes longer than the counts reach back; by a gateway beside others of an earlier build, which do not tell what they complete; for a workspace with homes, by the room of a part of the endpoints against the requests of all; and if they had begun. All of these are admitted now, as are streams. Returns are told the later of two times; deadlines beyond the route's timeout do not count as usual ones; failures say nothing of how fast an endpoint works. No test has these cases yet but those of the module, which pass.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -129,6 +129,11 @@
         if matches!(error, AttemptError::Unknown | AttemptError::Silent) {
             last_error = error;
         }
+        // No other endpoint changes what this gateway lacks.
+        if error == AttemptError::NoMemory {
+            last_error = AttemptError::Unknown;
+            break;
+        }
         if replacement.is_some() {
             continue;
         }
@@ -268,7 +273,7 @@
     let body = match collected {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::NoMemory)) => {
-            let (error, cause) = (AttemptError::Unknown, "no memory for the response");
+            let (error, cause) = (AttemptError::NoMemory, "no memory for the response");
             return Err(log_failure(gateway, context, &handle, error, cause));
         }
         Ok(Err(err)) => {
@@ -355,11 +360,15 @@
     } else {
         Code::Refused
     };
-    if code == Code::Refused && fairness::is_short_of_room(gateway, context) {
-        return ErrorResponse::with_retry_after(code, fairness::retry_after_ms(gateway, context));
-    }
     let wait_ms = match code {
         Code::Evacuated | Code::HomeUnavailable => UNAVAILABLE_RETRY_MS,
+        Code::Refused if fairness::is_short_of_room(gateway, context) => {
+            let spread_ms = fairness::retry_after_ms(gateway, context);
+            return ErrorResponse::with_retry_after(
+                code,
+                spread_ms.max(selection::wait_ms(gateway, context)),
+            );
+        }
         _ => selection::wait_ms(gateway, context),
     };
     ErrorResponse::with_retry_after(code, retry_after_ms(&context.metadata.attempt_id, wait_ms))
--- a/crates/gateway/src/fairness.rs
+++ b/crates/gateway/src/fairness.rs
@@ -10,6 +10,7 @@
     Millis,
     hash::{hash32, hash64},
 };
+use mimosaledge_peer::Version;
 use mimosaledge_policy::{
     PolicySettings, Route,
     admission::{self, Progress},
@@ -34,6 +35,7 @@
 /// Returns whether the client of a request seems to have been refused before.
 pub(crate) fn is_return(gateway: &Gateway, route: &Route, metadata: &RequestMetadata) -> bool {
     let Some(deadline_ms) = metadata.deadline_ms else { return false };
+    let deadline_ms = deadline_ms.min(route.timeout_ms);
     gateway.fairness.borrow_mut().usual_deadlines.record(&route.name, deadline_ms)
 }
 
@@ -88,23 +90,21 @@
     if context.is_return { lowered + policy.priority_slots } else { lowered }
 }
 
-/// Returns whether a request is admitted to a service whose endpoints report no load: not if more
-/// arrive than these can answer in time, and others go first.
+/// Returns whether a request is admitted to a service whose endpoints report no load: some are
+/// refused if more arrive than the endpoints can answer in time.
 ///
-/// In a large fleet, where the requests in flight are not known, all are admitted.
+/// `handles` and `candidates` are the endpoints that it may be sent to.
 pub(crate) fn is_admitted(
     gateway: &Gateway,
     context: &RequestContext,
     retry_state: &RetryState,
+    progress: Progress,
     handles: &[Rc<EndpointHandle>],
     candidates: &[Candidate],
 ) -> bool {
-    let is_sampled = gateway.loads.borrow().is_sampled();
-    // Without any endpoint the request is refused for that reason.
-    if handles.is_empty() {
-        return true;
-    }
-    if !gateway.settings.policy.limit_queues || is_sampled || retry_state.has_tried() {
+    let has_begun =
+        progress == Progress::Started || retry_state.has_tried() || retry_state.may_have_run();
+    if has_begun || !is_limit_known(gateway, context, handles) {
         return true;
     }
     let occupancy = Occupancy {
@@ -129,6 +129,26 @@
     is_admitted
 }
 
+/// Returns whether what is known of a service suffices to limit the requests to it.
+///
+/// In a large fleet the requests in flight are not known, and gateways of earlier builds do not
+/// tell what they complete. What the whole service completes says nothing of a part of its
+/// endpoints, and streams end too late to count.
+fn is_limit_known(
+    gateway: &Gateway,
+    context: &RequestContext,
+    handles: &[Rc<EndpointHandle>],
+) -> bool {
+    let table = gateway.endpoint_table.borrow();
+    let available = table.of_service(&context.service).iter().filter(|it| it.is_available());
+    gateway.settings.policy.limit_queues
+        && !context.route().streaming
+        && !handles.is_empty()
+        && handles.len() == available.count()
+        && !gateway.loads.borrow().is_sampled()
+        && gateway.peers.borrow().all_speak(Version::EXTENSIONS)
+}
+
 /// Returns the probability with which a request is admitted if there is room for the share `room`
 /// of all.
 fn admission_of(gateway: &Gateway, context: &RequestContext, demand: &Demand, room: f64) -> f64 {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -79,6 +79,11 @@
         self.membership.possibly_alive(now).collect()
     }
 
+    /// Returns whether all live gateways spoke `version` or a later one in the last round.
+    pub(crate) fn all_speak(&self, version: Version) -> bool {
+        self.oldest_version >= version
+    }
+
     /// Returns those of `gateways` that speak `version` or a later one.
     pub(crate) fn speaking(&self, version: Version, gateways: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
         let speaks = |it: &Ipv4Addr| self.version_of(*it) >= version;
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -202,7 +202,7 @@
         unreported: unreported.at_some_of(allowed_count, open_count),
     });
     if limit.is_none()
-        && !fairness::is_admitted(gateway, context, retry_state, &untried, &candidates)
+        && !fairness::is_admitted(gateway, context, retry_state, progress, &untried, &candidates)
     {
         return Err(Selection::Overloaded);
     }
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -80,7 +80,7 @@
         let duration_ms = duration_ms.max(1) as f64;
         let had_room = self.work_ms.is_some_and(|it| duration_ms <= it * NO_WAIT);
         self.room_seen = if had_room { Some(now) } else { None };
-        if load > f64::from(slots) * IDLE_LOAD {
+        if load > (f64::from(slots) * IDLE_LOAD).max(1.0) {
             return;
         }
         let work_ms = self.work_ms.get_or_insert(duration_ms);
@@ -110,7 +110,8 @@
         now: Millis,
     ) -> f64 {
         self.update(occupancy, rates.completions_per_ms, now);
-        if self.room_seen.is_some_and(|it| now.since(it) < EVIDENCE_MS) {
+        let has_free_slot = occupancy.load + 1.0 <= occupancy.slots;
+        if has_free_slot || self.room_seen.is_some_and(|it| now.since(it) < EVIDENCE_MS) {
             return 1.0;
         }
         let Some(limit) = self.limit(occupancy, times) else { return 1.0 };
