Split the selection of an endpoint into steps

select_endpoint had grown to 95 lines with four mechanisms: what a request may be sent to, the estimates, admission, placement and two log lines. The options of one request are a type of their own now. No behaviour changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,7 @@
 //! | `client_body` | gives a response to a client as it reads it |
 //! | `retry_state`, `handover` | what has been tried for one request, also at another gateway |
 //! | `eligibility` | which endpoints and gateways a request may be sent to at all |
-//! | `selection`, `selected` | selects the endpoint for each attempt, or none under overload |
+//! | `selection`, `options`, `selected` | selects the endpoint for each attempt, or none under overload |
 //! | `budget` | takes retries from the retry budget |
 //! | `silence` | gives up a silent endpoint only for another one |
 //! | `promises` | statuses that say that a request has not run |
@@ -96,6 +96,7 @@
 mod memory;
 mod memory_report;
 mod metrics;
+mod options;
 mod origins;
 mod peer;
 mod peers;
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -3,18 +3,12 @@
 
 use std::{net::SocketAddrV4, rc::Rc};
 
-use mimosaledge_core::hash::hash64;
-use mimosaledge_policy::{
-    RetryPolicy,
-    admission::Progress,
-    placement::{self, LoadLimit, Placement, Prefix},
-    prefix_cache, slow_start,
-};
+use mimosaledge_policy::{RetryPolicy, admission::Progress, placement::Placement, prefix_cache};
 
 use crate::{
-    budget, claims::Claims, eligibility, endpoint_handle::EndpointHandle, endpoint_table,
-    evacuation, even_placement, fairness, gateway::Gateway, load_estimates::LoadEstimates, permits,
-    quarantine, request_context::RequestContext, retry_state::RetryState, selected::Selected,
+    budget, claims::Claims, eligibility, endpoint_handle::EndpointHandle, evacuation, fairness,
+    gateway::Gateway, options::Options, permits, quarantine, request_context::RequestContext,
+    retry_state::RetryState, selected::Selected,
 };
 
 /// Minimum time before the deadline at which a request is still sent, in
@@ -173,101 +167,37 @@
     progress: Progress,
     claims: &Claims,
 ) -> Result<Rc<EndpointHandle>, Selection> {
-    let now = gateway.now();
-    gateway.peers.borrow_mut().update_loads(&mut gateway.loads.borrow_mut(), now);
+    gateway.peers.borrow_mut().update_loads(&mut gateway.loads.borrow_mut(), gateway.now());
     let table = gateway.endpoint_table.borrow();
-    let loads = gateway.loads.borrow();
     let known: Vec<&Rc<EndpointHandle>> =
         eligibility::endpoints(gateway, &table, context).collect();
-    let policy = &gateway.settings.policy.with_share_left(evacuation::share_left(&known));
-    let open = known.iter().filter(|it| it.is_open(claims.of(it)));
-    let open: Vec<&Rc<EndpointHandle>> = open.copied().collect();
-    let allowed = open.iter().filter(|it| retry_state.allows(it)).map(|it| Rc::clone(it));
-    let allowed: Vec<Rc<EndpointHandle>> = allowed.collect();
-    // Other requests go to the endpoints that this one may not be sent to as well.
-    let (allowed_count, open_count) = (allowed.len(), open.len());
-    let untried = claims.filter(allowed);
-    let settings = &gateway.settings;
-    let unreported =
-        endpoint_table::estimate_unreported(&context.service, &untried, settings, &loads, now);
-    let batch_slots = batch_slots(gateway, context);
-    let is_even = policy.even_choice && batch_slots.is_none() && context.prefix.is_none();
-    let estimates = match is_even {
-        true => LoadEstimates::forecast(&untried, &loads, now),
-        false => LoadEstimates::from_counts(&untried, &loads, unreported.remaining_share, now),
-    };
-    let mut candidates = endpoint_table::to_candidates(&untried, settings, &estimates, &loads, now);
-    let limit = batch_slots.map(|slots| LoadLimit {
-        limit: fairness::load_limit(gateway, context, policy, slots, progress),
-        unreported: unreported.at_some_of(allowed_count, open_count),
-    });
-    if limit.is_none()
-        && !fairness::is_admitted(gateway, context, retry_state, progress, &untried, &candidates)
+    let policy = gateway.settings.policy.with_share_left(evacuation::share_left(&known));
+    let mut options =
+        Options::find(gateway, context, &policy, &known, retry_state, progress, claims);
+    if !options.has_load_limit()
+        && !fairness::is_admitted(
+            gateway,
+            context,
+            retry_state,
+            progress,
+            options.untried(),
+            options.candidates(),
+        )
     {
         return Err(Selection::Overloaded);
     }
-    let ramps: Vec<f64> = untried.iter().map(|it| it.warmup().ramp(now)).collect();
-    slow_start::raise_loads(&mut candidates, &ramps, limit.map(|it| it.limit));
-    let hash = hash64(context.metadata.attempt_id.as_bytes());
-    let running = |key| f64::from(loads.count_with_prefix(key) + 1);
-    let prefix = context.prefix.map(|key| Prefix { key, running: running(key) });
-    let placement = match &estimates.forecast {
-        Some(forecast) => {
-            even_placement::place(policy, forecast, &untried, &candidates, &loads, hash, now)
+    options.raise_cold_loads(gateway.now());
+    match options.place(gateway, context, &policy) {
+        Placement::Candidate { index, admitting } => {
+            options.record_placement(gateway, context, retry_state, index, admitting);
+            Ok(options.endpoint(index).clone())
         }
-        None => placement::place(policy, limit, prefix, &candidates, hash),
-    };
-    let (index, admitting) = match placement {
-        Placement::Candidate { index, admitting } => (index, admitting),
-        Placement::NoCandidate => return Err(Selection::Unavailable(Unavailable::NoEndpoint)),
+        Placement::NoCandidate => Err(Selection::Unavailable(Unavailable::NoEndpoint)),
         Placement::Overloaded { least_load, share } => {
-            spdlog::info!(
-                "place: id={} route={} overloaded=true least_load={least_load:.1} limit={:.1} \
-                 share={share:.2} open={} known={} sent={} {} config={} list_age_ms={}",
-                context.metadata.attempt_id,
-                context.route().name,
-                limit.map(|it| it.limit).unwrap_or_default(),
-                untried.len(),
-                known.len(),
-                retry_state.sends.sent,
-                loads.log_fields(now),
-                gateway.config_version(),
-                gateway.list_age_ms()
-            );
-            return Err(Selection::Overloaded);
+            options.log_overload(gateway, context, retry_state, least_load, share);
+            Err(Selection::Overloaded)
         }
-    };
-    let (handle, candidate) = (&untried[index], candidates[index]);
-    gateway.metrics.loads.record(&candidate, &candidates, loads.peer_age_ms(now));
-    spdlog::info!(
-        "place: id={} route={} endpoint={} build={} load={:.1} slow={:.2} unsettled={:.1} \
-         report_age_ms={} near={} failing={:.2} refusing={:.2} admitting={admitting} open={} \
-         known={} sent={} {} config={} list_age_ms={}",
-        context.metadata.attempt_id,
-        context.route().name,
-        handle.id(),
-        handle.endpoint.borrow().build,
-        candidate.load,
-        candidate.slowness.multiple(),
-        estimates.unsettled(),
-        handle.report(now).map_or_else(|| "none".to_owned(), |it| it.age_ms.to_string()),
-        candidate.is_local,
-        candidate.failure_rate,
-        candidate.refusal_rate,
-        untried.len(),
-        known.len(),
-        retry_state.sends.sent,
-        loads.log_fields(now),
-        gateway.config_version(),
-        gateway.list_age_ms()
-    );
-    Ok(handle.clone())
-}
-
-/// Returns the number of requests that an engine of the request's service runs
-/// in one batch, or `None` if the service has no engines.
-fn batch_slots(gateway: &Gateway, context: &RequestContext) -> Option<u32> {
-    gateway.routes.borrow().service(&context.service)?.batch_slots
+    }
 }
 
 /// Returns the time without a response head after which an endpoint counts as silent,
