--- a/review/standins_2/platform.py
+++ b/review/standins_2/platform.py
@@ -95,6 +95,8 @@
 class Store:
     """The platform's store: keyed topics with one partition each."""
 
+    era = 0
+
     def __init__(self):
         self.topics = {}
         self.changed = asyncio.Event()
@@ -131,7 +133,7 @@
                 body = await read_body(reader, head[1])
                 status, answer = await self.handle(head[0].split(" ")[1], body)
                 writer.write(
-                    f"HTTP/1.1 {status} Status\r\nStore-Era: 0\r\n"
+                    f"HTTP/1.1 {status} Status\r\nStore-Era: {self.era}\r\n"
                     f"Content-Length: {len(answer)}\r\n\r\n".encode() + answer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
