Review: cases in order of gravity; case 8, streams go on at a restarted engine's new version

In its place: two engines crash and start again under their ids with a new version while the store is down.

--- a/review/standins_2/platform.py
+++ b/review/standins_2/platform.py
@@ -178,6 +178,35 @@
         return 404, b""
 
 
+class AwayStore(Store):
+    """A store that can be away: it resets connections and takes no writes."""
+
+    is_away = False
+
+    def __init__(self):
+        super().__init__()
+        self.writers = set()
+
+    async def serve(self, reader, writer):
+        if self.is_away:
+            reset(writer)
+            return
+        self.writers.add(writer)
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    def go_away(self):
+        self.is_away = True
+        for writer in list(self.writers):
+            reset(writer)
+
+    def put(self, topic, key, value):
+        if not self.is_away:
+            super().put(topic, key, value)
+
+
 class Server:
     """A server of a service; subclasses say what it does with a request."""
 
