--- a/review/standins_2/platform.py
+++ b/review/standins_2/platform.py
@@ -13,10 +13,14 @@
 import signal
 import socket
 import struct
+import sys
 import tempfile
 import time
 import urllib.parse
 
+# A case that is stopped ends the processes that it started, too.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HEARTBEAT_S = 1.2
 HOST = "host.example"
